--- a/src/main/java/clayfork/adapter/Main.java
+++ b/src/main/java/reeldeal/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -8,13 +8,13 @@
 import java.io.PrintStream;
 
 /** The adapter: batches of events on standard input, one reply to each on standard output. */
-public final class Main {
-    private Main() { }
+public final class BenchLink {
+    private BenchLink() { }
 
     /** Runs the adapter until the input ends: status 0, or 2 on malformed input. */
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar clayfork.jar adapter");
+        if (args.length != 1 || !args[0].equals("benchlink")) {
+            System.err.println("usage: java -jar reeldeal.jar benchlink");
             System.exit(2);
         }
         System.exit(run(new BufferedInputStream(System.in, 1 << 16),
@@ -32,7 +32,7 @@
             }
             return 0;
         } catch (WireException e) {
-            errors.println("clayfork: " + e.getMessage());
+            errors.println("reeldeal: " + e.getMessage());
             return 2;
         }
     }
--- a/src/main/java/clayfork/adapter/FrameReader.java
+++ b/src/main/java/reeldeal/benchlink/FrameReader.java
@@ -1,4 +1,4 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/clayfork/adapter/Host.java
+++ b/src/main/java/reeldeal/benchlink/Host.java
@@ -1,11 +1,11 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
-import clayfork.Aggregator.ListKind;
-import clayfork.Aggregator.Listed;
-import clayfork.Aggregator.Outcome;
-import clayfork.Aggregator.Part;
-import clayfork.Aggregator.Query;
-import clayfork.Aggregator.Server;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.Server;
 import java.io.PrintStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/clayfork/adapter/Instance.java
+++ b/src/main/java/reeldeal/benchlink/Instance.java
@@ -1,10 +1,10 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
-import clayfork.Aggregator;
-import clayfork.Aggregator.Part;
-import clayfork.Aggregator.Query;
-import clayfork.Aggregator.Settings;
-import clayfork.Choice;
+import reeldeal.decide.Aggregator;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.decide.Choice;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/clayfork/adapter/SettingsParser.java
+++ b/src/main/java/reeldeal/benchlink/SettingsParser.java
@@ -1,12 +1,12 @@
-package clayfork.adapter;
-
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Layout;
-import clayfork.Aggregator.Limits;
-import clayfork.Aggregator.QueryClass;
-import clayfork.Aggregator.Rules;
-import clayfork.Aggregator.Settings;
-import clayfork.Aggregator.Tenant;
+package reeldeal.benchlink;
+
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Layout;
+import reeldeal.decide.Aggregator.Limits;
+import reeldeal.decide.Aggregator.QueryClass;
+import reeldeal.decide.Aggregator.Rules;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.decide.Aggregator.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/clayfork/adapter/WireException.java
+++ b/src/main/java/reeldeal/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
 /** Input that the wire does not allow; the message names what was wrong and where. */
 final class WireException extends RuntimeException {
--- a/src/main/java/clayfork/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -1,4 +1,4 @@
-package clayfork;
+package reeldeal.decide;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/test/java/clayfork/adapter/MainTest.java
+++ b/src/test/java/reeldeal/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package clayfork.adapter;
+package reeldeal.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The adapter on good and bad input. */
-class MainTest {
+class BenchLinkTest {
     private static final String SETTINGS = String.join("\n", "Categories.count=1", "Categories.0.AimMs=1000.0",
             "Categories.0.HardLimitMs=3000.0", "Categories.0.Semantics=repeatable", "Categories.0.Worth=1.0",
             "FamilyInfo.Cells=2", "FamilyInfo.InARow=1", "FamilyInfo.Batch=4", "Instances=1", "SelfIndex=0",
@@ -25,7 +25,7 @@
     private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
 
     private int run(byte[] input) throws IOException {
-        return Main.run(new ByteArrayInputStream(input), out, new PrintStream(errors, true));
+        return BenchLink.run(new ByteArrayInputStream(input), out, new PrintStream(errors, true));
     }
 
     private static byte[] batch(byte[] tail, ByteBuffer... records) {
--- a/src/test/java/clayfork/Bed.java
+++ b/src/test/java/reeldeal/decide/Bed.java
@@ -1,18 +1,18 @@
-package clayfork;
-
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Layout;
-import clayfork.Aggregator.Limits;
-import clayfork.Aggregator.ListKind;
-import clayfork.Aggregator.Listed;
-import clayfork.Aggregator.Outcome;
-import clayfork.Aggregator.Part;
-import clayfork.Aggregator.Query;
-import clayfork.Aggregator.QueryClass;
-import clayfork.Aggregator.Rules;
-import clayfork.Aggregator.Server;
-import clayfork.Aggregator.Settings;
-import clayfork.Aggregator.Tenant;
+package reeldeal.decide;
+
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Layout;
+import reeldeal.decide.Aggregator.Limits;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.QueryClass;
+import reeldeal.decide.Aggregator.Rules;
+import reeldeal.decide.Aggregator.Server;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.decide.Aggregator.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/clayfork/CoverTest.java
+++ b/src/test/java/reeldeal/decide/CoverTest.java
@@ -1,11 +1,11 @@
-package clayfork;
+package reeldeal.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Listed;
-import clayfork.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/clayfork/FailureTest.java
+++ b/src/test/java/reeldeal/decide/FailureTest.java
@@ -1,12 +1,12 @@
-package clayfork;
+package reeldeal.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Outcome;
-import clayfork.Aggregator.Part;
-import clayfork.Aggregator.Query;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/clayfork/ModuleTest.java
+++ b/src/test/java/reeldeal/decide/ModuleTest.java
@@ -1,4 +1,4 @@
-package clayfork;
+package reeldeal.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,7 +13,7 @@
 class ModuleTest {
     @Test
     void theModuleStaysWithinItsLimits() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/clayfork/Choice.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/reeldeal/decide/Choice.java"));
         long full = lines.stream().filter(l -> !l.isBlank()).count();
         assertTrue(full <= 850, full + " lines");
         assertEquals(0, lines.stream().filter(l -> l.length() > 110).count());
--- a/src/test/java/clayfork/RandomDayTest.java
+++ b/src/test/java/reeldeal/decide/RandomDayTest.java
@@ -1,12 +1,12 @@
-package clayfork;
+package reeldeal.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Listed;
-import clayfork.Aggregator.Outcome;
-import clayfork.Aggregator.Rules;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Rules;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/clayfork/RulesTest.java
+++ b/src/test/java/reeldeal/decide/RulesTest.java
@@ -1,14 +1,14 @@
-package clayfork;
+package reeldeal.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import clayfork.Aggregator.Effect;
-import clayfork.Aggregator.Listed;
-import clayfork.Aggregator.Outcome;
-import clayfork.Aggregator.Rules;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Rules;
 import org.junit.jupiter.api.Test;
 
 /** The six rules at their edges. */
