--- a/src/main/java/reeldeal/benchlink/Host.java
+++ b/src/main/java/reeldeal/benchlink/Host.java
@@ -6,6 +6,7 @@
 import reeldeal.decide.Aggregator.Part;
 import reeldeal.decide.Aggregator.Query;
 import reeldeal.decide.Aggregator.Server;
+import reeldeal.config.SettingsParser;
 import java.io.PrintStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- /dev/null
+++ b/src/main/java/reeldeal/config/Config.java
@@ -0,0 +1,171 @@
+package reeldeal.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import reeldeal.core.Searcher;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.discovery.Catalog;
+
+/**
+ * All that a broker is told at its start, read, checked and given defaults here and nowhere else. What the
+ * module is to know stands in {@code settings}; beside it is what only sockets need.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+        List<Searcher> known, Settings settings, List<String> classes, List<String> zones, List<String> kinds,
+        int shards, int partsPerConnection, double idleMs, int connectTimeoutMs) {
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** A configuration that cannot be used; the message names the faulty key. */
+    public static final class Invalid extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    /** Reads LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY go before what the file says. */
+    public static Config read(Map<String, String> environment) throws Invalid {
+        String file = environment.get("LB_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Invalid("LB_CONFIG: not set");
+        }
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(Path.of(file));
+        } catch (IOException | RuntimeException e) {
+            throw new Invalid("LB_CONFIG: cannot be read: " + e.getMessage());
+        }
+        return parse(bytes, environment);
+    }
+
+    static Config parse(byte[] bytes, Map<String, String> environment) throws Invalid {
+        Map<String, String> values = new HashMap<>();
+        List<Searcher> known = List.of();
+        try (JsonParser json = JSON.createParser(bytes)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new Invalid("LB_CONFIG: not a JSON object");
+            }
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String field = json.currentName();
+                json.nextToken();
+                if (field.equals("known") && json.currentToken() != JsonToken.VALUE_NULL) {
+                    try {
+                        known = Catalog.read(json).searchers();
+                    } catch (JsonProcessingException e) {
+                        throw e;
+                    } catch (IOException e) {
+                        throw new Invalid("known: " + e.getMessage());
+                    }
+                } else {
+                    JsonPaths.read(json, field, values, 0);
+                }
+            }
+        } catch (JsonProcessingException e) {
+            throw new Invalid("LB_CONFIG: not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new Invalid("LB_CONFIG: " + e.getMessage());
+        }
+        take(values, environment, "name", "LB_NAME");
+        take(values, environment, "listen", "LB_LISTEN");
+        take(values, environment, "discovery", "LB_DISCOVERY");
+        Map<String, String> settings = new HashMap<>();
+        values.forEach((path, value) -> {
+            if (path.startsWith("settings.")) {
+                settings.put(path.substring("settings.".length()), value);
+            }
+        });
+        return new Config(values.getOrDefault("name", "broker"), address(values, "listen"),
+                address(values, "discovery"), (int) number(values, "limits.sockets", 1024, 64), known,
+                settings(settings, values.getOrDefault("seed", "0")), names(settings),
+                list(settings, "Zones"), list(settings, "Kinds"),
+                (int) number(settings, "FamilyInfo.Ranges", 0, 0),
+                (int) number(settings, "PolicyLimits.StreamsPerConn", 32, 1),
+                number(settings, "PolicyLimits.ConnIdleMs", 30_000, 1),
+                (int) number(settings, "PolicyLimits.DialTimeoutMs", 250, 1));
+    }
+
+    private static void take(Map<String, String> values, Map<String, String> environment, String key,
+            String variable) {
+        String value = environment.get(variable);
+        if (value != null && !value.isEmpty()) {
+            values.put(key, value);
+        }
+    }
+
+    private static Settings settings(Map<String, String> settings, String seed) throws Invalid {
+        long number;
+        try {
+            number = Long.parseUnsignedLong(seed, 16);
+        } catch (NumberFormatException e) {
+            throw new Invalid("seed: not hexadecimal: " + seed);
+        }
+        try {
+            return SettingsParser.parse(settings, number);
+        } catch (IllegalArgumentException e) {
+            throw new Invalid(e.getMessage());
+        }
+    }
+
+    private static List<String> names(Map<String, String> settings) throws Invalid {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; settings.containsKey("Categories." + i + ".AimMs"); i++) {
+            String name = settings.get("Categories." + i + ".Name");
+            if (name == null || name.isEmpty()) {
+                throw new Invalid("setting missing: Categories." + i + ".Name");
+            }
+            names.add(name);
+        }
+        return names;
+    }
+
+    private static List<String> list(Map<String, String> settings, String key) {
+        String joined = settings.getOrDefault(key, "");
+        return joined.isEmpty() ? List.of() : List.of(joined.split(","));
+    }
+
+    private static double number(Map<String, String> values, String key, double otherwise, double least)
+            throws Invalid {
+        String value = values.get(key);
+        if (value == null) {
+            return otherwise;
+        }
+        try {
+            double parsed = Double.parseDouble(value);
+            if (Double.isFinite(parsed) && parsed >= least) {
+                return parsed;
+            }
+        } catch (NumberFormatException e) {
+            // named below
+        }
+        throw new Invalid("setting malformed: " + key + "=" + value);
+    }
+
+    private static InetSocketAddress address(Map<String, String> values, String key) throws Invalid {
+        String value = values.get(key);
+        if (value == null) {
+            throw new Invalid(key + ": not set");
+        }
+        int colon = value.lastIndexOf(':');
+        try {
+            if (colon > 0) {
+                return new InetSocketAddress(value.substring(0, colon),
+                        Integer.parseInt(value.substring(colon + 1)));
+            }
+        } catch (IllegalArgumentException e) {
+            // named below
+        }
+        throw new Invalid(key + ": not host:port: " + value);
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/config/JsonPaths.java
@@ -0,0 +1,49 @@
+package reeldeal.config;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.Map;
+import java.util.StringJoiner;
+
+/**
+ * Reads nested JSON into values by their paths, as the simulator's wire writes them: a list of plain values
+ * joins them by commas, a list of objects gives its length under {@code count}.
+ */
+final class JsonPaths {
+    private static final int MAX_DEPTH = 16;
+
+    private JsonPaths() { }
+
+    /** Reads the value that the parser stands on. */
+    static void read(JsonParser json, String path, Map<String, String> into, int depth) throws IOException {
+        if (depth > MAX_DEPTH) {
+            throw new IOException("nested too deep at " + path);
+        }
+        JsonToken token = json.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String name = json.currentName();
+                json.nextToken();
+                read(json, path.isEmpty() ? name : path + "." + name, into, depth + 1);
+            }
+        } else if (token == JsonToken.START_ARRAY) {
+            StringJoiner plain = new StringJoiner(",");
+            int count = 0;
+            boolean objects = false;
+            while (json.nextToken() != JsonToken.END_ARRAY) {
+                if (json.currentToken().isScalarValue()) {
+                    // A comma in a name would split the joined list.
+                    plain.add(json.getText().replace(',', '_'));
+                } else {
+                    objects = true;
+                    read(json, path + "." + count, into, depth + 1);
+                }
+                count++;
+            }
+            into.put(objects ? path + ".count" : path, objects ? String.valueOf(count) : plain.toString());
+        } else if (token != JsonToken.VALUE_NULL) {
+            into.put(path, json.getText());
+        }
+    }
+}
--- a/src/main/java/reeldeal/benchlink/SettingsParser.java
+++ b/src/main/java/reeldeal/config/SettingsParser.java
@@ -1,4 +1,4 @@
-package reeldeal.benchlink;
+package reeldeal.config;
 
 import reeldeal.decide.Aggregator.Effect;
 import reeldeal.decide.Aggregator.Layout;
@@ -12,21 +12,29 @@
 import java.util.List;
 import java.util.Map;
 
-/** Turns the wire's path=value lines into settings; a bad or missing one throws, naming its key. */
-final class SettingsParser {
-    private final Map<String, String> values = new HashMap<>();
+/** Turns path=value pairs into settings, for the wire and for the broker alike; a bad or missing one throws, naming its key. */
+public final class SettingsParser {
+    private final Map<String, String> values;
 
-    private SettingsParser(String text) {
+    private SettingsParser(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** Settings from the wire's lines. */
+    public static Settings parse(String text, long seed) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 values.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             }
         }
+        return parse(values, seed);
     }
 
-    static Settings parse(String text, long seed) {
-        return new SettingsParser(text).settings(seed);
+    /** Settings from values by their paths. */
+    public static Settings parse(Map<String, String> values, long seed) {
+        return new SettingsParser(values).settings(seed);
     }
 
     private Settings settings(long seed) {
--- /dev/null
+++ b/src/main/java/reeldeal/core/Effect.java
@@ -0,0 +1,34 @@
+package reeldeal.core;
+
+import java.util.List;
+
+/** What the reducer asks for; the end of each comes back as an event. */
+public sealed interface Effect {
+
+    /** What a part of a second step says of the first: the shards that were in, and whether it was whole. */
+    record FirstStep(List<Integer> in, boolean whole) { }
+
+    /** One part of a call. {@code first} is null in a first step. */
+    record Send(long part, int attempt, Request request, int shard, double waitMs, FirstStep first) { }
+
+    /** One call to one searcher. */
+    record Call(Searcher searcher, List<Send> sends) implements Effect { }
+
+    /** Stop waiting for an attempt. */
+    record Abandon(long part, int attempt, boolean timedOut) implements Effect { }
+
+    /** Ask a searcher how it is. */
+    record Probe(Searcher searcher) implements Effect { }
+
+    /** Start nothing more at a searcher, what is queued included. */
+    record Halt(Searcher searcher) implements Effect { }
+
+    /** The final answer to a request. */
+    record Answer(long request, Reply reply) implements Effect { }
+
+    /** Bring this event after so long. */
+    record Wake(double delayMs, Event due) implements Effect { }
+
+    /** A line for the log. */
+    record Log(String line) implements Effect { }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -0,0 +1,391 @@
+package reeldeal.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import reeldeal.decide.Aggregator;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.Server;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.decide.Choice;
+
+/**
+ * The only place where a broker's state changes: the events of one turn go in, effects come out. It hosts
+ * the decision module, numbers attempts, forms calls, begins second steps, and sees to it that each request
+ * gets exactly one final answer in time. Used by one thread; it reads no clock and does no I/O.
+ */
+public final class Reducer implements Aggregator.Actions {
+
+    private static final class Asked {
+        final Request request;
+        final List<PartState> step = new ArrayList<>();
+        Effect.FirstStep first;
+        int parts;
+        boolean secondBegun;
+
+        Asked(Request request) {
+            this.request = request;
+        }
+    }
+
+    private static final class PartState {
+        final long id;
+        final Asked asked;
+        final int shard;
+        final List<AttemptState> attempts = new ArrayList<>();
+        AttemptEnd.Served served;
+        boolean over;
+        int live;
+
+        PartState(long id, Asked asked, int shard) {
+            this.id = id;
+            this.asked = asked;
+            this.shard = shard;
+        }
+    }
+
+    private static final class AttemptState {
+        final double at;
+        boolean ended;
+
+        AttemptState(double at) {
+            this.at = at;
+        }
+    }
+
+    private final Settings settings;
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Aggregator module;
+    private final Map<Long, Asked> open = new HashMap<>();
+    private final Map<Long, PartState> parts = new HashMap<>();
+    private final Map<Long, Searcher> searchers = new HashMap<>();
+    private final Map<String, Long> ids = new HashMap<>();
+    private final Map<Long, List<Effect.Send>> sends = new LinkedHashMap<>();
+    private final List<Event> barred = new ArrayList<>();
+    private List<Effect> effects = new ArrayList<>();
+    private double now;
+    private int held;
+    private long nextPart = 1;
+
+    /** A broker that knows nothing yet; zones and kinds are the settings' names for them. */
+    public Reducer(double now, Settings settings, List<String> zones, List<String> kinds) {
+        this.now = now;
+        this.settings = settings;
+        this.zones = List.copyOf(zones);
+        this.kinds = List.copyOf(kinds);
+        this.module = new Choice(now, settings, this);
+    }
+
+    /** Plays the events of one turn and returns what is to be done, in order. */
+    public List<Effect> turn(double time, List<Event> events) {
+        now = Math.max(now, time);
+        for (Event event : events) {
+            play(event);
+        }
+        // An attempt that the rules barred ends unsent; the module hears of it once it is done acting.
+        while (!barred.isEmpty()) {
+            List<Event> ended = List.copyOf(barred);
+            barred.clear();
+            ended.forEach(this::play);
+        }
+        // Calls come last, so that what is abandoned is told to a searcher before anything new starts.
+        formCalls();
+        List<Effect> out = effects;
+        effects = new ArrayList<>();
+        return out;
+    }
+
+    /** Requests that have no final answer yet. */
+    public int openRequests() {
+        return open.size();
+    }
+
+    private void play(Event event) {
+        if (event instanceof Event.Arrived e) {
+            arrived(e.request());
+        } else if (event instanceof Event.ClientGone e) {
+            Asked asked = open.get(e.request());
+            if (asked != null) {
+                close(asked);
+                module.clientGone(now, e.request());
+            }
+        } else if (event instanceof Event.AttemptEnded e) {
+            attemptEnded(e);
+        } else if (event instanceof Event.AttemptOverdue e) {
+            PartState part = parts.get(e.part());
+            if (part != null && !part.attempts.get(e.attempt()).ended) {
+                effects.add(new Effect.Abandon(e.part(), e.attempt(), true));
+            }
+        } else if (event instanceof Event.Probed e) {
+            module.probed(now, id(e.searcher()), e.outcome(), e.elapsedMs(), e.load());
+        } else if (event instanceof Event.Told e) {
+            told(e);
+        } else if (event instanceof Event.TimerDue e) {
+            module.timer(now, e.token());
+        } else if (event instanceof Event.SecondStepDue e) {
+            secondStep(e.request());
+        } else if (event instanceof Event.DeadlineDue e) {
+            Asked asked = open.get(e.request());
+            if (asked != null) {
+                // Guards against a module that lets a request's time run out: the client still gets an answer.
+                end(asked, new Reply.Failed("time is up"));
+                module.clientGone(now, e.request());
+            }
+        }
+    }
+
+    private void arrived(Request request) {
+        if (open.containsKey(request.id())) {
+            return;
+        }
+        if (held >= settings.limits().maxHeld()) {
+            // The settings' bound: with so much open, further requests are turned away before the module.
+            effects.add(new Effect.Answer(request.id(), new Reply.Refused(settings.limits().maxComeBackMs())));
+            return;
+        }
+        Asked asked = new Asked(request);
+        open.put(request.id(), asked);
+        List<Part> told = new ArrayList<>();
+        for (Request.Piece piece : request.pieces()) {
+            told.add(newPart(asked, piece.shard(), piece.weight(), piece.key()));
+        }
+        held++;
+        effects.add(new Effect.Wake(request.giveUpAt() - now - settings.turnMs(),
+                new Event.DeadlineDue(request.id())));
+        module.query(now, new Query(request.id(), request.klass(), 0, 0, request.giveUpAt(), request.retry()),
+                told);
+    }
+
+    private Part newPart(Asked asked, int shard, double weight, long key) {
+        PartState part = new PartState(nextPart++, asked, shard);
+        parts.put(part.id, part);
+        asked.step.add(part);
+        asked.parts++;
+        held++;
+        return new Part(part.id, shard, weight, key);
+    }
+
+    private void attemptEnded(Event.AttemptEnded e) {
+        PartState part = parts.get(e.part());
+        if (part == null || e.attempt() >= part.attempts.size() || part.attempts.get(e.attempt()).ended) {
+            return;
+        }
+        AttemptState attempt = part.attempts.get(e.attempt());
+        attempt.ended = true;
+        part.live--;
+        if (e.end() instanceof AttemptEnd.Served served && part.served == null) {
+            part.served = served;
+        }
+        Outcome outcome = outcome(e.end());
+        if (part.over && part.live == 0) {
+            parts.remove(part.id);
+        }
+        module.outcome(now, part.id, e.attempt(), outcome, now - attempt.at, e.load());
+    }
+
+    private static Outcome outcome(AttemptEnd end) {
+        if (end instanceof AttemptEnd.Served) {
+            return Outcome.OK;
+        } else if (end instanceof AttemptEnd.Erred) {
+            return Outcome.ERROR;
+        } else if (end instanceof AttemptEnd.TurnedAway) {
+            return Outcome.FULL;
+        } else if (end instanceof AttemptEnd.Broken b) {
+            return b.reach() == AttemptEnd.Reach.UNSENT ? Outcome.CONNECT_FAILED : Outcome.RESET;
+        } else if (end instanceof AttemptEnd.Barred) {
+            return Outcome.NEVER_SENT;
+        }
+        AttemptEnd.Abandoned a = (AttemptEnd.Abandoned) end;
+        return a.reach() == AttemptEnd.Reach.UNSENT ? Outcome.CONNECT_FAILED
+                : a.timedOut() ? Outcome.TIMEOUT : Outcome.CANCELLED;
+    }
+
+    // ---- the fleet ----
+
+    private void told(Event.Told e) {
+        List<Server> servers = new ArrayList<>();
+        if (e.kind() == ListKind.WHOLE) {
+            // A searcher missing from a whole list is gone.
+            Map<Long, Searcher> missing = new HashMap<>(searchers);
+            e.entries().forEach(s -> missing.remove(id(s.name())));
+            missing.values().forEach(s -> effects.add(new Effect.Halt(s)));
+        }
+        for (Searcher s : e.entries()) {
+            Searcher before = searchers.put(id(s.name()), s);
+            if (s.listed() != Listed.READY) {
+                effects.add(new Effect.Halt(s));
+            }
+            if (before != null && !before.address().equals(s.address())) {
+                effects.add(new Effect.Halt(before));
+            }
+            servers.add(new Server(id(s.name()), Math.max(0, zones.indexOf(s.zone())), s.cell(), s.startedMs(),
+                    s.size(), Math.max(0, kinds.indexOf(s.kind())), s.listed()));
+        }
+        module.servers(now, e.kind(), servers);
+    }
+
+    /** The module's number for a searcher: made from its name, so that it is the same at every broker. */
+    private long id(String name) {
+        return ids.computeIfAbsent(name, n -> {
+            long hash = 0xcbf29ce484222325L;
+            for (int i = 0; i < n.length(); i++) {
+                hash = (hash ^ n.charAt(i)) * 0x100000001b3L;
+            }
+            long id = hash >>> 12;
+            while (ids.containsValue(id)) {
+                id++;
+            }
+            return id;
+        });
+    }
+
+    // ---- the module's actions ----
+
+    @Override
+    public void send(long partId, long server, double timeoutMs) {
+        PartState part = parts.get(partId);
+        Searcher searcher = searchers.get(server);
+        if (part == null) {
+            return;
+        }
+        int number = part.attempts.size();
+        part.attempts.add(new AttemptState(now));
+        part.live++;
+        boolean copyBarred = part.live > 1 && !settings.limits().secondCopies();
+        if (searcher == null || part.over || part.served != null || copyBarred
+                || number >= settings.limits().maxAttempts()) {
+            // Guards the rules whatever the module says: no part that is over, no copy, no attempt too many.
+            effects.add(new Effect.Log("attempt " + number + " of part " + partId + " stopped by the rules"));
+            barred.add(new Event.AttemptEnded(partId, number, new AttemptEnd.Barred(), new double[0]));
+            return;
+        }
+        Request request = part.asked.request;
+        double left = request.giveUpAt() - now;
+        double wait = Math.max(0, timeoutMs == 0 ? left : Math.min(timeoutMs, left));
+        sends.computeIfAbsent(server, s -> new ArrayList<>()).add(
+                new Effect.Send(partId, number, request, part.shard, wait, part.asked.first));
+        effects.add(new Effect.Wake(wait, new Event.AttemptOverdue(partId, number)));
+    }
+
+    /** One turn's sends to one searcher form calls of at most the settings' batch. */
+    private void formCalls() {
+        int batch = settings.layout().batch();
+        sends.forEach((server, list) -> {
+            for (int i = 0; i < list.size(); i += batch) {
+                effects.add(new Effect.Call(searchers.get(server),
+                        List.copyOf(list.subList(i, Math.min(list.size(), i + batch)))));
+            }
+        });
+        sends.clear();
+    }
+
+    @Override
+    public void cancel(long partId, int number) {
+        PartState part = parts.get(partId);
+        if (part != null && number < part.attempts.size() && !part.attempts.get(number).ended) {
+            effects.add(new Effect.Abandon(partId, number, false));
+        }
+    }
+
+    @Override
+    public void answer(long query, boolean whole) {
+        Asked asked = open.get(query);
+        if (asked == null) {
+            return;
+        }
+        List<PartState> in = asked.step.stream().filter(p -> p.served != null).toList();
+        int second = settings.classes().get(asked.request.klass()).secondStep();
+        if (second > 0 && asked.first == null) {
+            asked.first = new Effect.FirstStep(in.stream().map(p -> p.shard).sorted().toList(), whole);
+            effects.add(new Effect.Wake(0, new Event.SecondStepDue(query)));
+            return;
+        }
+        end(asked, new Reply.Served(whole && (asked.first == null || asked.first.whole()),
+                in.stream().map(p -> new Reply.Hit(p.shard, p.served.value())).toList()));
+    }
+
+    /** The second step goes to the shards with the highest scores among those that are in. */
+    private void secondStep(long query) {
+        Asked asked = open.get(query);
+        if (asked == null || asked.first == null || asked.secondBegun) {
+            return;
+        }
+        asked.secondBegun = true;
+        List<PartState> best = new ArrayList<>(asked.step.stream().filter(p -> p.served != null).toList());
+        best.sort(Comparator.comparingDouble((PartState p) -> -p.served.score()).thenComparingInt(p -> p.shard));
+        int count = Math.min(best.size(), settings.classes().get(asked.request.klass()).secondStep());
+        asked.step.forEach(this::over);
+        asked.step.clear();
+        List<Part> told = new ArrayList<>();
+        for (PartState p : best.subList(0, count)) {
+            long key = asked.request.pieces().stream().filter(x -> x.shard() == p.shard)
+                    .mapToLong(Request.Piece::key).findFirst().orElse(0);
+            told.add(newPart(asked, p.shard, 1.0 / count, key));
+        }
+        module.moreParts(now, query, told);
+    }
+
+    @Override
+    public void refuse(long query, double comeBackMs) {
+        Asked asked = open.get(query);
+        if (asked != null) {
+            end(asked, new Reply.Refused(comeBackMs));
+        }
+    }
+
+    @Override
+    public void fail(long query) {
+        Asked asked = open.get(query);
+        if (asked != null) {
+            end(asked, new Reply.Failed("not served"));
+        }
+    }
+
+    private void end(Asked asked, Reply reply) {
+        close(asked);
+        effects.add(new Effect.Answer(asked.request.id(), reply));
+    }
+
+    private void close(Asked asked) {
+        open.remove(asked.request.id());
+        held -= 1 + asked.parts;
+        asked.step.forEach(this::over);
+    }
+
+    private void over(PartState part) {
+        part.over = true;
+        if (part.live == 0) {
+            parts.remove(part.id);
+        }
+    }
+
+    @Override
+    public void wakeIn(double delayMs, int token) {
+        effects.add(new Effect.Wake(delayMs, new Event.TimerDue(token)));
+    }
+
+    @Override
+    public void probe(long server) {
+        Searcher searcher = searchers.get(server);
+        if (searcher != null) {
+            effects.add(new Effect.Probe(searcher));
+        }
+    }
+
+    /** The watch always runs, so there is nothing to ask for. */
+    @Override
+    public void subscribe() { }
+
+    @Override
+    public void log(String line) {
+        effects.add(new Effect.Log(line));
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/core/Reply.java
@@ -0,0 +1,19 @@
+package reeldeal.core;
+
+import java.util.List;
+
+/** The one final answer to a request. */
+public sealed interface Reply {
+
+    /** A value that a searcher made for a shard. */
+    record Hit(int shard, String value) { }
+
+    /** Served from these values; {@code whole} when every part that a whole answer needs is in. */
+    record Served(boolean whole, List<Hit> hits) implements Reply { }
+
+    /** Refused: trying again is harmless, best after so long. */
+    record Refused(double comeBackMs) implements Reply { }
+
+    /** Failed: nothing is promised. */
+    record Failed(String why) implements Reply { }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/core/Searcher.java
@@ -0,0 +1,7 @@
+package reeldeal.core;
+
+import reeldeal.decide.Aggregator.Listed;
+
+/** One searcher as discovery lists it; {@code startedMs} is Unix time, 0 for long ago. */
+public record Searcher(String name, String address, String zone, String kind, int cell, double startedMs,
+        double size, Listed listed) { }
--- /dev/null
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -0,0 +1,181 @@
+package reeldeal.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Accepts connections and hands each request to its front, one at a time on a connection. */
+public final class HttpServer {
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final int maxConnections;
+    private final BiConsumer<HttpMessage, Exchange> front;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean closing;
+
+    /** A server for a front; more connections than this are closed at once, to stay within descriptors. */
+    public HttpServer(int maxConnections, BiConsumer<HttpMessage, Exchange> front) {
+        this.maxConnections = maxConnections;
+        this.front = front;
+    }
+
+    /** Listens on this address only. */
+    public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group, group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Connection());
+                    }
+                });
+        ChannelFuture bound = bootstrap.bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** The address listened on. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** From now on each response ends its connection. */
+    public void announceClose() {
+        closing = true;
+    }
+
+    /** Stops accepting and closes the connections on which nothing is asked. */
+    public void stopListening() {
+        closing = true;
+        listener.close();
+        for (Connection c : Set.copyOf(connections)) {
+            if (c.current == null && !c.parser.inMessage()) {
+                c.context.close();
+            }
+        }
+    }
+
+    /** Connections that are open. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final HttpParser parser = new HttpParser(false);
+        private ChannelHandlerContext context;
+        private Pending current;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            context = ctx;
+            if (connections.size() >= maxConnections) {
+                ctx.close();
+                return;
+            }
+            connections.add(this);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ByteBuf in = (ByteBuf) message;
+            byte[] bytes = new byte[in.readableBytes()];
+            in.readBytes(bytes);
+            in.release();
+            parser.feed(bytes, 0, bytes.length);
+            advance();
+        }
+
+        /** Begins the next request if none is being answered. */
+        private void advance() {
+            if (current != null) {
+                // A client that sends ahead without end is not read on; it would fill the memory.
+                context.channel().config().setAutoRead(parser.hasRoom());
+                return;
+            }
+            HttpParser.Result result = parser.next();
+            if (result instanceof HttpParser.Complete complete) {
+                current = new Pending(this, complete.message().keepsAlive());
+                front.accept(complete.message(), current);
+                context.channel().config().setAutoRead(current == null || parser.hasRoom());
+            } else if (result instanceof HttpParser.Malformed bad) {
+                current = new Pending(this, false);
+                current.respond(bad.status(), Map.of("Content-Type", "text/plain"),
+                        (bad.why() + "\n").getBytes(StandardCharsets.UTF_8));
+            } else if (((HttpParser.NeedMore) result).expectsContinue()) {
+                context.writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(this);
+            Pending left = current;
+            current = null;
+            if (left != null && left.gone != null) {
+                left.gone.run();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Exceptions stop at the connection: this one ends, no other notices.
+            ctx.close();
+        }
+    }
+
+    private final class Pending implements Exchange {
+        private final Connection connection;
+        private final boolean keepAlive;
+        private Runnable gone;
+
+        Pending(Connection connection, boolean keepAlive) {
+            this.connection = connection;
+            this.keepAlive = keepAlive;
+        }
+
+        @Override
+        public void respond(int status, Map<String, String> headers, byte[] body) {
+            if (connection.current != this) {
+                return;
+            }
+            connection.current = null;
+            boolean close = !keepAlive || closing;
+            ChannelFuture written = connection.context.writeAndFlush(
+                    HttpWriter.response(status, headers, body, close));
+            if (close) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            } else {
+                connection.context.executor().execute(() -> {
+                    if (connection.context.channel().isActive()) {
+                        connection.context.channel().config().setAutoRead(true);
+                        connection.advance();
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void onGone(Runnable run) {
+            gone = run;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -0,0 +1,101 @@
+package reeldeal.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import reeldeal.core.Port;
+import reeldeal.core.Reply;
+import reeldeal.core.Request;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.http.Exchange;
+import reeldeal.http.HttpMessage;
+
+/** The platform's protocol: turns its messages into requests, and replies into its answers. */
+public final class PlatformFront {
+    private static final Map<String, String> PLAIN = Map.of("Content-Type", "text/plain");
+    private static final Map<String, String> JSON = Map.of("Content-Type", "application/json");
+
+    private final Port port;
+    private final Settings settings;
+    private final List<String> classes;
+    private final int shards;
+
+    public PlatformFront(Port port, Settings settings, List<String> classes, int shards) {
+        this.port = port;
+        this.settings = settings;
+        this.classes = classes;
+        this.shards = shards;
+    }
+
+    /** Takes one message; whatever is wrong with it is answered here and goes no further. */
+    public void accept(HttpMessage message, Exchange exchange) {
+        String path = message.path();
+        if (path.equals("/_health")) {
+            boolean ready = port.ready();
+            plain(exchange, ready ? 200 : 503, ready ? "ok" : "not ready");
+            return;
+        }
+        String[] steps = path.split("/");
+        int klass = steps.length < 2 ? -1 : classes.indexOf(steps[1]);
+        if (klass < 0) {
+            plain(exchange, 404, "unknown class");
+        } else if (!message.first().equals("POST")) {
+            plain(exchange, 405, "use POST");
+        } else {
+            query(message, klass, exchange);
+        }
+    }
+
+    private void query(HttpMessage message, int klass, Exchange exchange) {
+        double now = port.now();
+        String name = message.header("x-correlation-id");
+        String left = message.header("x-time-left-ms");
+        String key = message.header("idempotency-key");
+        boolean keyed = settings.classes().get(klass).effect() == Effect.KEYED;
+        if (!isWord(name)) {
+            plain(exchange, 400, "X-Correlation-Id is missing or malformed");
+        } else if (left != null && !left.matches("[0-9]{1,9}")) {
+            plain(exchange, 400, "X-Time-Left-Ms is malformed");
+        } else if (keyed && !isWord(key)) {
+            plain(exchange, 400, "Idempotency-Key is missing or malformed");
+        } else {
+            QueryBody body;
+            try {
+                body = QueryBody.parse(message.body(), shards, settings.limits().maxHeld());
+            } catch (IOException e) {
+                plain(exchange, 400, e.getMessage().lines().findFirst().orElse("malformed body"));
+                return;
+            }
+            double wait = left == null ? settings.classes().get(klass).deadlineMs() : Double.parseDouble(left);
+            long id = port.nextRequest();
+            exchange.onGone(() -> port.gone(id));
+            port.submit(new Request(id, name, klass, keyed ? key : null, now + wait,
+                    "1".equals(message.header("x-repeat")), body.text(), body.pieces()),
+                    reply -> answer(exchange, reply));
+        }
+    }
+
+    private static void answer(Exchange exchange, Reply reply) {
+        if (reply instanceof Reply.Served served) {
+            exchange.respond(200, JSON, QueryBody.answer(served));
+        } else if (reply instanceof Reply.Refused refused) {
+            exchange.respond(503, refused.comeBackMs() <= 0 ? PLAIN : Map.of("Content-Type", "text/plain",
+                    "Retry-After", String.format(Locale.ROOT, "%.3f", refused.comeBackMs() / 1000)),
+                    "refused\n".getBytes(StandardCharsets.UTF_8));
+        } else {
+            plain(exchange, 500, ((Reply.Failed) reply).why());
+        }
+    }
+
+    private static void plain(Exchange exchange, int status, String text) {
+        exchange.respond(status, PLAIN, (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Whether this can stand in a searcher's frame, whose fields end at spaces, commas and line ends. */
+    private static boolean isWord(String value) {
+        return value != null && value.matches("[!-+\\--~]{1,128}");
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/searchers/Frames.java
@@ -0,0 +1,118 @@
+package reeldeal.searchers;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import reeldeal.core.AttemptEnd;
+import reeldeal.core.Effect;
+
+/** The searchers' frames: four bytes of length, a letter, the rest. */
+final class Frames {
+    static final int MAX_FRAME = 256 * 1024;
+
+    /** One frame as it came. */
+    record Frame(char letter, byte[] rest) { }
+
+    /** What an {@code A} frame says. */
+    record Answer(String id, AttemptEnd end, String report) { }
+
+    private byte[] buffer = new byte[512];
+    private int end;
+
+    /** Takes further bytes. */
+    void feed(ByteBuf in) {
+        int length = in.readableBytes();
+        if (buffer.length < end + length) {
+            buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, end + length));
+        }
+        in.readBytes(buffer, end, length);
+        end += length;
+    }
+
+    /** Whether the bytes at hand can be no frame: a length of nothing, or beyond what is taken. */
+    boolean malformed() {
+        return end >= 4 && (length() < 1 || length() > MAX_FRAME);
+    }
+
+    /** The next frame, or null until all of it has come. */
+    Frame next() {
+        if (end < 4 || malformed() || end < 4 + length()) {
+            return null;
+        }
+        int whole = 4 + (int) length();
+        Frame frame = new Frame((char) (buffer[4] & 0xff), Arrays.copyOfRange(buffer, 5, whole));
+        System.arraycopy(buffer, whole, buffer, 0, end - whole);
+        end -= whole;
+        return frame;
+    }
+
+    private long length() {
+        return (buffer[0] & 0xffL) << 24 | (buffer[1] & 0xffL) << 16 | (buffer[2] & 0xffL) << 8 | buffer[3] & 0xffL;
+    }
+
+    /** Reads an {@code A} frame, or returns null where it is malformed. */
+    static Answer answer(byte[] rest) {
+        int line = 0;
+        while (line < rest.length && rest[line] != '\n') {
+            line++;
+        }
+        String[] words = new String(rest, 0, line, StandardCharsets.UTF_8).split(" ");
+        if (line == rest.length || words.length != 4) {
+            return null;
+        }
+        String value = new String(rest, line + 1, rest.length - line - 1, StandardCharsets.UTF_8);
+        switch (words[1]) {
+            case "ok":
+                try {
+                    return new Answer(words[0],
+                            new AttemptEnd.Served(words[2].equals("-") ? 0 : Double.parseDouble(words[2]), value),
+                            words[3]);
+                } catch (NumberFormatException e) {
+                    return null;
+                }
+            case "err":
+                return new Answer(words[0], new AttemptEnd.Erred(), words[3]);
+            case "busy":
+                return new Answer(words[0], new AttemptEnd.TurnedAway(), words[3]);
+            default:
+                return null;
+        }
+    }
+
+    /** A part's name on the wire: its query's, a dot and the shard, and a mark in a second step. */
+    static String partName(Effect.Send send) {
+        return send.request().name() + "." + send.shard() + (send.first() == null ? "" : ".f");
+    }
+
+    /** One call. */
+    static ByteBuf call(List<Effect.Send> sends) {
+        ByteArrayOutputStream rest = new ByteArrayOutputStream(128 * sends.size());
+        for (Effect.Send send : sends) {
+            byte[] text = send.request().text().getBytes(StandardCharsets.UTF_8);
+            StringBuilder line = new StringBuilder(96);
+            line.append(partName(send)).append(' ').append(send.shard()).append(" d=")
+                    .append(Math.max(0, (long) send.waitMs()));
+            if (send.request().idempotencyKey() != null) {
+                line.append(",k=").append(send.request().idempotencyKey());
+            }
+            if (send.first() != null) {
+                line.append(",from=").append(send.first().in().stream().map(String::valueOf)
+                        .collect(Collectors.joining("+"))).append(",whole=").append(send.first().whole() ? 1 : 0);
+            }
+            line.append(' ').append(text.length).append('\n');
+            rest.writeBytes(line.toString().getBytes(StandardCharsets.UTF_8));
+            rest.writeBytes(text);
+        }
+        return frame('Q', rest.toByteArray());
+    }
+
+    /** A frame. */
+    static ByteBuf frame(char letter, byte[] rest) {
+        ByteBuf out = Unpooled.buffer(5 + rest.length);
+        return out.writeInt(1 + rest.length).writeByte(letter).writeBytes(rest);
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -0,0 +1,371 @@
+package reeldeal.searchers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import reeldeal.core.AttemptEnd;
+import reeldeal.core.AttemptEnd.Reach;
+import reeldeal.core.Effect;
+import reeldeal.core.Event;
+import reeldeal.core.Searcher;
+import reeldeal.decide.Aggregator.Outcome;
+
+/**
+ * The connections to searchers: opened as needed, shared by calls up to the settings' bound, closed before
+ * the searcher would. Every attempt handed over ends in exactly one event that says how far it had come.
+ */
+public final class Pool {
+    private static final int MAX_PER_SEARCHER = 8;
+    private static final double IDLE_SHARE = 0.6; // of the idle time at which searchers reset a connection
+    private static final double PROBE_TIMEOUT_MS = 250;
+
+    /** What the pool keeps to: parts on a connection, the searchers' idle limit, time to connect. */
+    public record Bounds(int partsPerConnection, double idleMs, int connectTimeoutMs, int connections) { }
+
+    private record Key(long part, int attempt) { }
+
+    private record ProbeOut(Searcher searcher, double at) { }
+
+    private final EventLoopGroup group;
+    private final Bounds bounds;
+    private final List<String> loadColumns;
+    private final DoubleSupplier clock;
+    private final Consumer<Event> events;
+    private final Consumer<String> log;
+    private final Map<String, List<Connection>> byAddress = new HashMap<>();
+    private final Map<Key, Connection> out = new HashMap<>();
+    private int open;
+
+    public Pool(EventLoopGroup group, Bounds bounds, List<String> loadColumns, DoubleSupplier clock,
+            Consumer<Event> events, Consumer<String> log) {
+        this.group = group;
+        this.bounds = bounds;
+        this.loadColumns = loadColumns;
+        this.clock = clock;
+        this.events = events;
+        this.log = log;
+    }
+
+    /** Sends one call, on a connection with room or a new one. */
+    public void call(Effect.Call call) {
+        Connection connection = connection(call.searcher(), call.sends());
+        if (connection == null) {
+            for (Effect.Send send : call.sends()) {
+                end(send, new AttemptEnd.Broken(Reach.UNSENT, "no connection to be had"), "-");
+            }
+            return;
+        }
+        connection.take(call.sends());
+    }
+
+    /** Stops waiting for an attempt. */
+    public void abandon(Effect.Abandon abandon) {
+        Connection connection = out.get(new Key(abandon.part(), abandon.attempt()));
+        if (connection != null) {
+            connection.abandon(abandon);
+        }
+    }
+
+    /** Starts nothing more at this searcher: what waits for a connection ends unsent. */
+    public void halt(Searcher searcher) {
+        for (Connection c : List.copyOf(byAddress.getOrDefault(searcher.address(), List.of()))) {
+            c.halt();
+        }
+    }
+
+    /** Asks a searcher for its load, on a connection that is up or a new one. */
+    public void probe(Effect.Probe probe) {
+        Connection connection = connection(probe.searcher(), List.of());
+        if (connection == null) {
+            events.accept(new Event.Probed(probe.searcher().name(), Outcome.CONNECT_FAILED, 0, new double[0]));
+        } else {
+            connection.probe(probe.searcher());
+        }
+    }
+
+    /** Closes connections that have been idle for long, and ends probes that were not answered. */
+    public void sweep() {
+        for (List<Connection> list : List.copyOf(byAddress.values())) {
+            for (Connection c : List.copyOf(list)) {
+                c.sweep();
+            }
+        }
+    }
+
+    /** Closes everything. */
+    public void close() {
+        for (List<Connection> list : List.copyOf(byAddress.values())) {
+            List.copyOf(list).forEach(c -> c.channel.close());
+        }
+    }
+
+    private Connection connection(Searcher searcher, List<Effect.Send> sends) {
+        List<Connection> list = byAddress.computeIfAbsent(searcher.address(), a -> new ArrayList<>());
+        Connection best = null;
+        for (Connection c : list) {
+            // Calls gather on the connections that are up, so that few stay open.
+            if (c.takes(sends) && (best == null || c.up && !best.up)) {
+                best = c;
+            }
+        }
+        if (best != null) {
+            return best;
+        }
+        if (list.size() >= MAX_PER_SEARCHER || open >= bounds.connections()) {
+            return null;
+        }
+        int colon = searcher.address().lastIndexOf(':');
+        Connection fresh = new Connection(searcher.address());
+        list.add(fresh);
+        open++;
+        fresh.connect(new InetSocketAddress(searcher.address().substring(0, colon),
+                Integer.parseInt(searcher.address().substring(colon + 1))));
+        return fresh;
+    }
+
+    private void end(Effect.Send send, AttemptEnd end, String report) {
+        out.remove(new Key(send.part(), send.attempt()));
+        events.accept(new Event.AttemptEnded(send.part(), send.attempt(), end, Report.read(report, loadColumns)));
+    }
+
+    /** One connection; the parts out on it are known by their names on the wire. */
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final String address;
+        private final Frames frames = new Frames();
+        private final Map<String, Effect.Send> waiting = new LinkedHashMap<>();
+        private final Map<String, Boolean> written = new HashMap<>();
+        private final List<List<Effect.Send>> queued = new ArrayList<>();
+        private final Set<String> spent = new HashSet<>();
+        private final ArrayDeque<ProbeOut> probes = new ArrayDeque<>();
+        private Channel channel;
+        private boolean up;
+        private boolean closed;
+        private double usedAt = clock.getAsDouble();
+
+        Connection(String address) {
+            this.address = address;
+        }
+
+        void connect(InetSocketAddress to) {
+            ChannelFuture connecting = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, bounds.connectTimeoutMs())
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(this).connect(to);
+            channel = connecting.channel();
+            connecting.addListener(f -> {
+                if (!f.isSuccess()) {
+                    close("could not connect");
+                }
+            });
+        }
+
+        /** Whether this connection may carry these parts as well. */
+        boolean takes(List<Effect.Send> sends) {
+            // A name given up here may still be answered here: that answer must not end the next attempt.
+            return !closed && waiting.size() + sends.size() <= bounds.partsPerConnection()
+                    && usedAt > clock.getAsDouble() - IDLE_SHARE * bounds.idleMs()
+                    && sends.stream().map(Frames::partName)
+                            .noneMatch(name -> spent.contains(name) || waiting.containsKey(name));
+        }
+
+        void take(List<Effect.Send> sends) {
+            usedAt = clock.getAsDouble();
+            for (Effect.Send send : sends) {
+                waiting.put(Frames.partName(send), send);
+                out.put(new Key(send.part(), send.attempt()), this);
+            }
+            if (up) {
+                write(sends);
+            } else {
+                queued.add(new ArrayList<>(sends));
+            }
+        }
+
+        private void write(List<Effect.Send> sends) {
+            channel.writeAndFlush(Frames.call(sends)).addListener(f -> {
+                if (f.isSuccess()) {
+                    sends.forEach(s -> written.put(Frames.partName(s), true));
+                }
+            });
+        }
+
+        private Reach reach(String name) {
+            return written.containsKey(name) ? Reach.SENT : Reach.UNSENT;
+        }
+
+        void abandon(Effect.Abandon abandon) {
+            for (Effect.Send send : List.copyOf(waiting.values())) {
+                if (send.part() == abandon.part() && send.attempt() == abandon.attempt()) {
+                    String name = Frames.partName(send);
+                    boolean unsent = queued.stream().anyMatch(q -> q.remove(send));
+                    waiting.remove(name);
+                    if (!unsent) {
+                        // What lies half written may still run: only what was never handed over is unsent.
+                        written.remove(name);
+                        spent.add(name);
+                        channel.writeAndFlush(Frames.frame('X', name.getBytes(StandardCharsets.UTF_8)));
+                    }
+                    end(send, new AttemptEnd.Abandoned(unsent ? Reach.UNSENT : Reach.SENT, abandon.timedOut()),
+                            "-");
+                    return;
+                }
+            }
+        }
+
+        void halt() {
+            List<List<Effect.Send>> unsent = List.copyOf(queued);
+            queued.clear();
+            for (List<Effect.Send> sends : unsent) {
+                for (Effect.Send send : sends) {
+                    waiting.remove(Frames.partName(send));
+                    end(send, new AttemptEnd.Broken(Reach.UNSENT, "searcher drains"), "-");
+                }
+            }
+            // A call that the socket has not taken yet would start later: the connection goes with it.
+            if (up && waiting.keySet().stream().anyMatch(name -> !written.containsKey(name))) {
+                close("searcher drains");
+            }
+        }
+
+        void probe(Searcher searcher) {
+            probes.add(new ProbeOut(searcher, clock.getAsDouble()));
+            if (up) {
+                writeProbe();
+            }
+        }
+
+        private void writeProbe() {
+            channel.writeAndFlush(Frames.frame(loadColumns.isEmpty() ? 'P' : 'L', new byte[0]));
+        }
+
+        void sweep() {
+            double now = clock.getAsDouble();
+            while (!probes.isEmpty() && probes.peek().at() < now - PROBE_TIMEOUT_MS) {
+                // Replies carry no number, so after a lost one the connection's next cannot be told apart.
+                close("probe not answered");
+            }
+            if (waiting.isEmpty() && probes.isEmpty() && usedAt < now - IDLE_SHARE * bounds.idleMs()) {
+                close("idle");
+            }
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (closed) {
+                ctx.close();
+                return;
+            }
+            up = true;
+            List<List<Effect.Send>> ready = List.copyOf(queued);
+            queued.clear();
+            ready.stream().filter(q -> !q.isEmpty()).forEach(this::write);
+            probes.forEach(p -> writeProbe());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ByteBuf in = (ByteBuf) message;
+            frames.feed(in);
+            in.release();
+            usedAt = clock.getAsDouble();
+            for (Frames.Frame f = frames.next(); f != null && !closed; f = frames.next()) {
+                String bad = frame(f);
+                if (bad != null) {
+                    log.accept("searcher " + address + ": " + bad);
+                    close(bad);
+                }
+            }
+            if (!closed && frames.malformed()) {
+                log.accept("searcher " + address + ": malformed frame");
+                close("malformed frame");
+            }
+        }
+
+        /** Takes one frame; returns what is wrong with it, or null. */
+        private String frame(Frames.Frame frame) {
+            switch (frame.letter()) {
+                case 'A' -> {
+                    Frames.Answer answer = Frames.answer(frame.rest());
+                    if (answer == null) {
+                        return "malformed answer";
+                    }
+                    spent.remove(answer.id());
+                    Effect.Send send = waiting.remove(answer.id());
+                    if (send != null) {
+                        written.remove(answer.id());
+                        end(send, answer.end(), answer.report());
+                    }
+                    return null;
+                }
+                case 'P', 'L' -> {
+                    ProbeOut probe = probes.poll();
+                    if (probe == null) {
+                        return "a reply to no probe";
+                    }
+                    String rest = new String(frame.rest(), StandardCharsets.UTF_8);
+                    events.accept(new Event.Probed(probe.searcher().name(),
+                            rest.equals("err") ? Outcome.ERROR : Outcome.OK, clock.getAsDouble() - probe.at(),
+                            Report.read(rest, loadColumns)));
+                    return null;
+                }
+                case 'E' -> {
+                    return "refused a frame: " + new String(frame.rest(), StandardCharsets.UTF_8);
+                }
+                default -> {
+                    return "unknown frame " + (int) frame.letter();
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            close("connection ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            close(String.valueOf(cause.getMessage()));
+        }
+
+        /** Ends the connection and with it all that is out on it. */
+        private void close(String why) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            open--;
+            byAddress.get(address).remove(this);
+            if (byAddress.get(address).isEmpty()) {
+                byAddress.remove(address);
+            }
+            channel.close();
+            for (Map.Entry<String, Effect.Send> e : List.copyOf(waiting.entrySet())) {
+                end(e.getValue(), new AttemptEnd.Broken(reach(e.getKey()), why), "-");
+            }
+            waiting.clear();
+            for (ProbeOut p : probes) {
+                events.accept(new Event.Probed(p.searcher().name(), up ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED,
+                        clock.getAsDouble() - p.at(), new double[0]));
+            }
+            probes.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -0,0 +1,189 @@
+package reeldeal.serve;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import reeldeal.config.Config;
+import reeldeal.core.Effect;
+import reeldeal.core.Event;
+import reeldeal.core.Port;
+import reeldeal.core.Reducer;
+import reeldeal.core.Reply;
+import reeldeal.core.Request;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.discovery.Watch;
+import reeldeal.http.HttpServer;
+import reeldeal.platform.PlatformFront;
+import reeldeal.searchers.Pool;
+
+/**
+ * Wires the parts to the reducer: events gather until the next turn, effects are carried out as they come.
+ * All of it runs on one event loop thread.
+ */
+public final class Broker implements Port {
+    private static final double DRAIN_ACCEPT_MS = 500;
+    private static final int SWEEP_MS = 1_000;
+
+    private final Config config;
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final Reducer reducer;
+    private final Pool pool;
+    private final Watch watch;
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final Map<Long, Consumer<Reply>> replies = new HashMap<>();
+    private List<Event> events = new ArrayList<>();
+    private boolean turnPlanned;
+    private double lastTurn = Double.NEGATIVE_INFINITY;
+    private long nextRequest = 1;
+    private boolean ready;
+    private boolean draining;
+
+    public Broker(Config config) {
+        this.config = config;
+        this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
+        this.pool = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
+                config.connectTimeoutMs(), config.sockets() / 4), config.settings().loadColumns(), clock::now,
+                this::event, Broker::log);
+        this.watch = new Watch(group, config.discovery(), this::event, Broker::log);
+    }
+
+    /** Listens and serves; throws where an address cannot be had. */
+    public void start() throws Exception {
+        PlatformFront front = new PlatformFront(this, config.settings(), config.classes(), config.shards());
+        HttpServer platform = new HttpServer(config.sockets() / 2, front::accept);
+        servers.add(platform);
+        loop.submit(() -> {
+            event(new Event.Told(ListKind.CACHED, config.known()));
+            watch.start();
+            loop.scheduleWithFixedDelay(pool::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        }).sync();
+        platform.listen(group, config.listen()).sync();
+        ready = true;
+        log("serving as " + config.name());
+    }
+
+    /**
+     * Goes on accepting for a while, since clients learn late; then stops listening, answers all that was
+     * taken, and returns once nothing is left or the time is up.
+     */
+    public void drain() throws InterruptedException {
+        double longest = config.settings().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
+        double until = clock.now() + Math.max(longest, 3_000) + 600;
+        loop.submit(() -> {
+            draining = true;
+            servers.forEach(HttpServer::announceClose);
+        }).sync();
+        Thread.sleep((long) DRAIN_ACCEPT_MS);
+        loop.submit(() -> servers.forEach(HttpServer::stopListening)).sync();
+        while (clock.now() < until && !loop.submit(this::idle).sync().getNow()) {
+            Thread.sleep(10);
+        }
+        loop.submit(() -> {
+            watch.stop();
+            pool.close();
+        }).sync();
+        log("stopped");
+    }
+
+    private boolean idle() {
+        return reducer.openRequests() == 0 && events.isEmpty()
+                && servers.stream().allMatch(s -> s.openConnections() == 0);
+    }
+
+    static void log(String line) {
+        System.err.println(line);
+    }
+
+    // ---- the port ----
+
+    @Override
+    public double now() {
+        return clock.now();
+    }
+
+    @Override
+    public long nextRequest() {
+        return nextRequest++;
+    }
+
+    @Override
+    public void submit(Request request, Consumer<Reply> reply) {
+        replies.put(request.id(), reply);
+        event(new Event.Arrived(request));
+    }
+
+    @Override
+    public void gone(long request) {
+        if (replies.remove(request) != null) {
+            event(new Event.ClientGone(request));
+        }
+    }
+
+    @Override
+    public boolean ready() {
+        return ready && !draining;
+    }
+
+    // ---- turns ----
+
+    /** Keeps an event for the next turn; turns come at most once in the settings' period. */
+    private void event(Event event) {
+        events.add(event);
+        if (!turnPlanned) {
+            turnPlanned = true;
+            double wait = lastTurn + config.settings().turnMs() - clock.now();
+            if (wait <= 0) {
+                loop.execute(this::turn);
+            } else {
+                loop.schedule(this::turn, (long) (wait * 1e6), TimeUnit.NANOSECONDS);
+            }
+        }
+    }
+
+    private void turn() {
+        turnPlanned = false;
+        lastTurn = clock.now();
+        List<Event> now = events;
+        events = new ArrayList<>();
+        List<Effect> effects;
+        try {
+            effects = reducer.turn(lastTurn, now);
+        } catch (RuntimeException e) {
+            // A fault in the decisions leaves no state to go on from: the platform starts the broker anew.
+            e.printStackTrace();
+            Runtime.getRuntime().halt(70);
+            return;
+        }
+        effects.forEach(this::carryOut);
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.Call call) {
+            pool.call(call);
+        } else if (effect instanceof Effect.Abandon abandon) {
+            pool.abandon(abandon);
+        } else if (effect instanceof Effect.Answer answer) {
+            Consumer<Reply> reply = replies.remove(answer.request());
+            if (reply != null) {
+                reply.accept(answer.reply());
+            }
+        } else if (effect instanceof Effect.Wake wake) {
+            loop.schedule(() -> event(wake.due()), (long) (Math.max(0, wake.delayMs()) * 1e6),
+                    TimeUnit.NANOSECONDS);
+        } else if (effect instanceof Effect.Halt halt) {
+            pool.halt(halt.searcher());
+        } else if (effect instanceof Effect.Probe probe) {
+            pool.probe(probe);
+        } else if (effect instanceof Effect.Log line) {
+            log(line.line());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/serve/Clock.java
@@ -0,0 +1,11 @@
+package reeldeal.serve;
+
+/** Unix time in milliseconds that never goes back: the wall clock at the start, then the steady one. */
+final class Clock {
+    private final double startMs = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+
+    double now() {
+        return startMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+}
