--- a/src/main/java/reeldeal/config/Config.java
+++ b/src/main/java/reeldeal/config/Config.java
@@ -18,11 +18,12 @@
 
 /**
  * All that a broker is told at its start, read, checked and given defaults here and nowhere else. What the
- * module is to know stands in {@code settings}; beside it is what only sockets need.
+ * module is to know stands in {@code settings}; beside it is what only sockets need. {@code search} is null
+ * where the second front is off.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
         List<Searcher> known, Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-        int shards, int partsPerConnection, double idleMs, int connectTimeoutMs) {
+        int shards, int partsPerConnection, double idleMs, int connectTimeoutMs, SearchConfig search) {
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -86,14 +87,15 @@
                 settings.put(path.substring("settings.".length()), value);
             }
         });
+        int shards = (int) number(settings, "FamilyInfo.Ranges", 0, 0);
         return new Config(values.getOrDefault("name", "broker"), address(values, "listen"),
                 address(values, "discovery"), (int) number(values, "limits.sockets", 1024, 64), known,
                 settings(settings, values.getOrDefault("seed", "0")), names(settings),
                 list(settings, "Zones"), list(settings, "Kinds"),
-                (int) number(settings, "FamilyInfo.Ranges", 0, 0),
-                (int) number(settings, "PolicyLimits.StreamsPerConn", 32, 1),
+                shards, (int) number(settings, "PolicyLimits.StreamsPerConn", 32, 1),
                 number(settings, "PolicyLimits.ConnIdleMs", 30_000, 1),
-                (int) number(settings, "PolicyLimits.DialTimeoutMs", 250, 1));
+                (int) number(settings, "PolicyLimits.DialTimeoutMs", 250, 1),
+                SearchConfig.read(environment, names(settings), shards));
     }
 
     private static void take(Map<String, String> values, Map<String, String> environment, String key,
@@ -152,7 +154,7 @@
         throw new Invalid("setting malformed: " + key + "=" + value);
     }
 
-    private static InetSocketAddress address(Map<String, String> values, String key) throws Invalid {
+    static InetSocketAddress address(Map<String, String> values, String key) throws Invalid {
         String value = values.get(key);
         if (value == null) {
             throw new Invalid(key + ": not set");
--- a/src/main/java/reeldeal/core/Port.java
+++ b/src/main/java/reeldeal/core/Port.java
@@ -17,6 +17,9 @@
     /** The client of a request has left; no reply will come. */
     void gone(long request);
 
+    /** Runs this after so long. */
+    void after(double delayMs, Runnable run);
+
     /** Whether the broker is up and not about to stop. */
     boolean ready();
 }
--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -309,7 +309,7 @@
             return;
         }
         end(asked, new Reply.Served(whole && (asked.first == null || asked.first.whole()),
-                in.stream().map(p -> new Reply.Hit(p.shard, p.served.value())).toList()));
+                in.stream().map(p -> new Reply.Hit(p.shard, p.served.value(), p.served.score())).toList()));
     }
 
     /** The second step goes to the shards with the highest scores among those that are in. */
--- a/src/main/java/reeldeal/core/Reply.java
+++ b/src/main/java/reeldeal/core/Reply.java
@@ -5,8 +5,8 @@
 /** The one final answer to a request. */
 public sealed interface Reply {
 
-    /** A value that a searcher made for a shard. */
-    record Hit(int shard, String value) { }
+    /** A value that a searcher made for a shard, with the score that it gave. */
+    record Hit(int shard, String value, double score) { }
 
     /** Served from these values; {@code whole} when every part that a whole answer needs is in. */
     record Served(boolean whole, List<Hit> hits) implements Reply { }
--- a/src/main/java/reeldeal/http/HttpClient.java
+++ b/src/main/java/reeldeal/http/HttpClient.java
@@ -47,6 +47,11 @@
         return waiting == null;
     }
 
+    /** Whether the call that is out was written whole. */
+    public boolean isWritten() {
+        return written;
+    }
+
     /** Asks, and hands over exactly one result; the time-out covers connecting and waiting. */
     public void call(String method, String target, Map<String, String> headers, byte[] body, long timeoutMs,
             Consumer<Result> then) {
--- /dev/null
+++ b/src/main/java/reeldeal/search/MsearchHeader.java
@@ -0,0 +1,40 @@
+package reeldeal.search;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import reeldeal.search.SearchBody.Unsupported;
+
+/** The line before each search of many: it may name the index, and nothing else is supported. */
+final class MsearchHeader {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private MsearchHeader() { }
+
+    /** The index named, or the other where none is. */
+    static String index(byte[] line, String otherwise) throws Unsupported {
+        if (new String(line, StandardCharsets.UTF_8).isBlank()) {
+            return otherwise;
+        }
+        String index = otherwise;
+        try (JsonParser json = JSON.createParser(line)) {
+            boolean object = json.nextToken() == JsonToken.START_OBJECT;
+            while (object && json.nextToken() == JsonToken.FIELD_NAME) {
+                String field = json.currentName();
+                if (!field.equals("index") || json.nextToken() != JsonToken.VALUE_STRING) {
+                    throw new Unsupported("illegal_argument_exception",
+                            "key [" + field + "] is not supported in the metadata section");
+                }
+                index = json.getText();
+            }
+            if (!object || json.nextToken() != null) {
+                throw new Unsupported("parsing_exception", "malformed metadata line");
+            }
+        } catch (IOException e) {
+            throw new Unsupported("parsing_exception", "malformed metadata line");
+        }
+        return index;
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/search/SearchBody.java
@@ -0,0 +1,244 @@
+package reeldeal.search;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The part of the query language that the broker can carry: {@code match_all}, {@code query_string}, and
+ * {@code bool} of one of these with a filter on {@code _segment}. Anything else is named and turned down,
+ * never passed over: an answer to a query that was not asked is worse than none.
+ */
+final class SearchBody {
+
+    /** What is wrong with a request, in OpenSearch's words for it. */
+    static final class Unsupported extends Exception {
+        private static final long serialVersionUID = 1L;
+        final String type;
+
+        Unsupported(String type, String reason) {
+            super(reason);
+            this.type = type;
+        }
+    }
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int MAX_WINDOW = 10_000;
+
+    String text = "*";
+    Set<String> segments;
+    int from;
+    int size = 10;
+    boolean source = true;
+    double timeoutMs = Double.POSITIVE_INFINITY;
+    String idempotencyKey;
+
+    private JsonParser json;
+
+    /** Reads a body; an empty one asks for everything. */
+    static SearchBody parse(byte[] bytes) throws Unsupported {
+        SearchBody body = new SearchBody();
+        if (new String(bytes, java.nio.charset.StandardCharsets.ISO_8859_1).isBlank()) {
+            return body;
+        }
+        try (JsonParser json = JSON.createParser(bytes)) {
+            body.json = json;
+            body.top();
+            if (json.nextToken() != null) {
+                throw bad("more than one JSON object in a body");
+            }
+            return body;
+        } catch (JsonProcessingException e) {
+            throw bad("malformed JSON: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw bad("malformed JSON");
+        }
+    }
+
+    private static Unsupported bad(String reason) {
+        return new Unsupported("parsing_exception", reason);
+    }
+
+    private void top() throws IOException, Unsupported {
+        need(json.nextToken(), JsonToken.START_OBJECT, "body");
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            JsonToken value = json.nextToken();
+            switch (field) {
+                case "query" -> query(value);
+                case "from" -> from(whole(value, field));
+                case "size" -> size(whole(value, field));
+                case "timeout" -> timeout(string(value, field));
+                case "_source" -> source = flag(value, field);
+                case "track_total_hits" -> {
+                    // Totals are always exact here, so either wish is met.
+                    if (value != JsonToken.VALUE_NUMBER_INT) {
+                        flag(value, field);
+                    }
+                }
+                case "ext" -> ext(value);
+                default -> throw bad("unknown or unsupported key [" + field + "]");
+            }
+        }
+    }
+
+    void from(int value) throws Unsupported {
+        from = value;
+        window();
+    }
+
+    void size(int value) throws Unsupported {
+        size = value;
+        window();
+    }
+
+    private void window() throws Unsupported {
+        if (from < 0 || size < 0 || (long) from + size > MAX_WINDOW) {
+            throw new Unsupported("illegal_argument_exception",
+                    "from and size must not be negative, nor together exceed " + MAX_WINDOW);
+        }
+    }
+
+    /** A time with its unit, as in {@code 500ms} or {@code 1.5s}; {@code -1} is none. */
+    void timeout(String value) throws Unsupported {
+        if (value.equals("-1")) {
+            return;
+        }
+        java.util.regex.Matcher m = java.util.regex.Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,6})?)(ms|s|m)")
+                .matcher(value);
+        if (!m.matches()) {
+            throw new Unsupported("illegal_argument_exception", "failed to parse [timeout] with value [" + value
+                    + "]: a number with ms, s or m is needed");
+        }
+        timeoutMs = Double.parseDouble(m.group(1))
+                * (m.group(2).equals("ms") ? 1 : m.group(2).equals("s") ? 1_000 : 60_000);
+    }
+
+    private void query(JsonToken value) throws IOException, Unsupported {
+        need(value, JsonToken.START_OBJECT, "query");
+        if (json.nextToken() != JsonToken.FIELD_NAME) {
+            throw bad("query clause is empty");
+        }
+        String clause = json.currentName();
+        need(json.nextToken(), JsonToken.START_OBJECT, clause);
+        switch (clause) {
+            case "match_all" -> need(json.nextToken(), JsonToken.END_OBJECT, "match_all, with no options");
+            case "query_string" -> queryString();
+            case "bool" -> bool();
+            default -> throw bad("unknown or unsupported query [" + clause + "]");
+        }
+        need(json.nextToken(), JsonToken.END_OBJECT, "query, with one clause");
+    }
+
+    private void queryString() throws IOException, Unsupported {
+        boolean found = false;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            JsonToken value = json.nextToken();
+            if (!field.equals("query")) {
+                throw bad("[query_string] does not support [" + field + "]");
+            }
+            text = string(value, "query_string.query");
+            found = true;
+        }
+        if (!found || text.isEmpty()) {
+            throw bad("[query_string] needs [query]");
+        }
+    }
+
+    private void bool() throws IOException, Unsupported {
+        int musts = 0;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            JsonToken value = json.nextToken();
+            if (!field.equals("must") && !field.equals("filter")) {
+                throw bad("[bool] does not support [" + field + "]");
+            }
+            boolean list = value == JsonToken.START_ARRAY;
+            while (!list || json.nextToken() != JsonToken.END_ARRAY) {
+                if (field.equals("filter")) {
+                    filter(json.currentToken());
+                } else if (++musts > 1) {
+                    throw bad("[bool] supports one [must] clause");
+                } else {
+                    query(json.currentToken());
+                }
+                if (!list) {
+                    break;
+                }
+            }
+        }
+    }
+
+    private void filter(JsonToken value) throws IOException, Unsupported {
+        need(value, JsonToken.START_OBJECT, "filter");
+        json.nextToken();
+        String clause = json.currentName();
+        if (!"term".equals(clause) && !"terms".equals(clause)) {
+            throw bad("unknown or unsupported filter [" + clause + "]");
+        }
+        need(json.nextToken(), JsonToken.START_OBJECT, clause);
+        json.nextToken();
+        if (!"_segment".equals(json.currentName())) {
+            throw bad("[" + clause + "] supports the field [_segment] only");
+        }
+        List<String> named = new ArrayList<>();
+        JsonToken first = json.nextToken();
+        if (clause.equals("term")) {
+            named.add(string(first, "_segment"));
+        } else {
+            need(first, JsonToken.START_ARRAY, "terms._segment");
+            while (json.nextToken() != JsonToken.END_ARRAY) {
+                named.add(string(json.currentToken(), "_segment"));
+            }
+        }
+        need(json.nextToken(), JsonToken.END_OBJECT, clause + ", with one field");
+        need(json.nextToken(), JsonToken.END_OBJECT, "filter, with one clause");
+        if (segments == null) {
+            segments = new LinkedHashSet<>(named);
+        } else {
+            segments.retainAll(named);
+        }
+    }
+
+    private void ext(JsonToken value) throws IOException, Unsupported {
+        need(value, JsonToken.START_OBJECT, "ext");
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            JsonToken inner = json.nextToken();
+            if (!field.equals("idempotency_key")) {
+                throw bad("[ext] does not support [" + field + "]");
+            }
+            idempotencyKey = string(inner, "ext.idempotency_key");
+        }
+    }
+
+    private static void need(JsonToken token, JsonToken wanted, String what) throws Unsupported {
+        if (token != wanted) {
+            throw bad("[" + what + "] is malformed");
+        }
+    }
+
+    private String string(JsonToken token, String what) throws IOException, Unsupported {
+        need(token, JsonToken.VALUE_STRING, what);
+        return json.getText();
+    }
+
+    private int whole(JsonToken token, String what) throws IOException, Unsupported {
+        need(token, JsonToken.VALUE_NUMBER_INT, what);
+        return json.getIntValue();
+    }
+
+    private boolean flag(JsonToken token, String what) throws IOException, Unsupported {
+        if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE) {
+            throw bad("[" + what + "] is not true or false");
+        }
+        return json.getBooleanValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/search/SearchWire.java
@@ -0,0 +1,166 @@
+package reeldeal.search;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import reeldeal.core.AttemptEnd;
+import reeldeal.core.Effect;
+
+/** A call to a searcher in OpenSearch's form: one {@code _msearch} with a search for each part. */
+final class SearchWire {
+    private static final JsonFactory JSON = new JsonFactory().setRootValueSeparator("");
+    static final String INDEX = "segments";
+
+    private SearchWire() { }
+
+    /** The body that asks for these parts; each names its shard by {@code preference}. */
+    static byte[] call(List<Effect.Send> sends) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256 * sends.size());
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            for (Effect.Send send : sends) {
+                json.writeStartObject();
+                json.writeStringField("index", INDEX);
+                json.writeStringField("preference", "_shards:" + send.shard());
+                json.writeEndObject();
+                json.writeRaw('\n');
+                json.writeStartObject();
+                json.writeObjectFieldStart("query");
+                json.writeObjectFieldStart("query_string");
+                json.writeStringField("query", send.request().text());
+                json.writeEndObject();
+                json.writeEndObject();
+                json.writeNumberField("size", 1);
+                json.writeStringField("timeout", (long) send.waitMs() + "ms");
+                ext(json, send);
+                json.writeEndObject();
+                json.writeRaw('\n');
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // memory does not fail
+        }
+        return out.toByteArray();
+    }
+
+    private static void ext(JsonGenerator json, Effect.Send send) throws IOException {
+        json.writeObjectFieldStart("ext");
+        json.writeStringField("query", send.request().name());
+        if (send.request().idempotencyKey() != null) {
+            json.writeStringField("idempotency_key", send.request().idempotencyKey());
+        }
+        if (send.first() != null) {
+            json.writeArrayFieldStart("from");
+            for (int shard : send.first().in()) {
+                json.writeNumber(shard);
+            }
+            json.writeEndArray();
+            json.writeBooleanField("whole", send.first().whole());
+        }
+        json.writeEndObject();
+    }
+
+    /** How each part ended by this body, in their order; throws IOException where it is no such answer. */
+    static List<AttemptEnd> answer(byte[] body) throws IOException {
+        List<AttemptEnd> ends = null;
+        try (JsonParser json = JSON.createParser(body)) {
+            need(json.nextToken() == JsonToken.START_OBJECT);
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String field = json.currentName();
+                json.nextToken();
+                if (field.equals("responses")) {
+                    need(json.currentToken() == JsonToken.START_ARRAY);
+                    ends = new ArrayList<>();
+                    while (json.nextToken() != JsonToken.END_ARRAY) {
+                        ends.add(one(json));
+                    }
+                } else {
+                    json.skipChildren();
+                }
+            }
+            need(json.currentToken() == JsonToken.END_OBJECT && ends != null);
+            return ends;
+        }
+    }
+
+    private static AttemptEnd one(JsonParser json) throws IOException {
+        need(json.currentToken() == JsonToken.START_OBJECT);
+        int status = 200;
+        boolean late = false;
+        AttemptEnd.Served served = null;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            json.nextToken();
+            switch (field) {
+                case "status" -> status = json.getIntValue();
+                case "timed_out" -> late = json.getBooleanValue();
+                case "hits" -> served = hits(json);
+                default -> json.skipChildren();
+            }
+        }
+        if (status == 429) {
+            return new AttemptEnd.TurnedAway();
+        }
+        // A part is whole or nothing: one that its searcher cut short is not in.
+        return status != 200 || late || served == null ? new AttemptEnd.Erred() : served;
+    }
+
+    /** The first hit; its document's {@code doc} is the part's value, else its id. */
+    private static AttemptEnd.Served hits(JsonParser json) throws IOException {
+        need(json.currentToken() == JsonToken.START_OBJECT);
+        AttemptEnd.Served first = null;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            json.nextToken();
+            if (!field.equals("hits")) {
+                json.skipChildren();
+                continue;
+            }
+            need(json.currentToken() == JsonToken.START_ARRAY);
+            while (json.nextToken() != JsonToken.END_ARRAY) {
+                AttemptEnd.Served hit = hit(json);
+                first = first == null ? hit : first;
+            }
+        }
+        return first;
+    }
+
+    private static AttemptEnd.Served hit(JsonParser json) throws IOException {
+        need(json.currentToken() == JsonToken.START_OBJECT);
+        String id = null;
+        String doc = null;
+        double score = 0;
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            JsonToken value = json.nextToken();
+            switch (field) {
+                case "_id" -> id = json.getText();
+                case "_score" -> score = value == JsonToken.VALUE_NULL ? 0 : json.getDoubleValue();
+                case "_source" -> {
+                    need(value == JsonToken.START_OBJECT);
+                    while (json.nextToken() == JsonToken.FIELD_NAME) {
+                        boolean isDoc = json.currentName().equals("doc");
+                        if (json.nextToken() == JsonToken.VALUE_STRING && isDoc) {
+                            doc = json.getText();
+                        } else {
+                            json.skipChildren();
+                        }
+                    }
+                }
+                default -> json.skipChildren();
+            }
+        }
+        need(doc != null || id != null);
+        return new AttemptEnd.Served(score, doc == null ? id : doc);
+    }
+
+    private static void need(boolean holds) throws IOException {
+        if (!holds) {
+            throw new IOException("malformed answer");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/searchers/ByKind.java
@@ -0,0 +1,55 @@
+package reeldeal.searchers;
+
+import java.util.Set;
+import reeldeal.core.Effect;
+import reeldeal.core.Searcher;
+
+/** Sends calls out in the form that the searcher's kind speaks. */
+public final class ByKind implements Outlet {
+    private final Outlet frames;
+    private final Outlet other;
+    private final Set<String> othersKinds;
+
+    public ByKind(Outlet frames, Outlet other, Set<String> othersKinds) {
+        this.frames = frames;
+        this.other = other;
+        this.othersKinds = othersKinds;
+    }
+
+    private Outlet of(Searcher searcher) {
+        return othersKinds.contains(searcher.kind()) ? other : frames;
+    }
+
+    @Override
+    public void call(Effect.Call call) {
+        of(call.searcher()).call(call);
+    }
+
+    @Override
+    public void abandon(Effect.Abandon abandon) {
+        frames.abandon(abandon);
+        other.abandon(abandon);
+    }
+
+    @Override
+    public void halt(Searcher searcher) {
+        of(searcher).halt(searcher);
+    }
+
+    @Override
+    public void probe(Effect.Probe probe) {
+        of(probe.searcher()).probe(probe);
+    }
+
+    @Override
+    public void sweep() {
+        frames.sweep();
+        other.sweep();
+    }
+
+    @Override
+    public void close() {
+        frames.close();
+        other.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/searchers/Outlet.java
@@ -0,0 +1,26 @@
+package reeldeal.searchers;
+
+import reeldeal.core.Effect;
+import reeldeal.core.Searcher;
+
+/** The way to searchers. Every attempt handed over ends in exactly one event that says how far it had come. */
+public interface Outlet {
+
+    /** Sends one call. */
+    void call(Effect.Call call);
+
+    /** Stops waiting for an attempt; one that is not held here is passed over. */
+    void abandon(Effect.Abandon abandon);
+
+    /** Starts nothing more at this searcher: what waits for a connection ends unsent. */
+    void halt(Searcher searcher);
+
+    /** Asks a searcher for its load. */
+    void probe(Effect.Probe probe);
+
+    /** Closes connections that have been idle for long. */
+    void sweep();
+
+    /** Closes everything. */
+    void close();
+}
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -32,7 +32,7 @@
  * The connections to searchers: opened as needed, shared by calls up to the settings' bound, closed before
  * the searcher would. Every attempt handed over ends in exactly one event that says how far it had come.
  */
-public final class Pool {
+public final class Pool implements Outlet {
     private static final int MAX_PER_SEARCHER = 8;
     private static final double IDLE_SHARE = 0.6; // of the idle time at which searchers reset a connection
     private static final double PROBE_TIMEOUT_MS = 250;
@@ -65,6 +65,7 @@
     }
 
     /** Sends one call, on a connection with room or a new one. */
+    @Override
     public void call(Effect.Call call) {
         Connection connection = connection(call.searcher(), call.sends());
         if (connection == null) {
@@ -77,6 +78,7 @@
     }
 
     /** Stops waiting for an attempt. */
+    @Override
     public void abandon(Effect.Abandon abandon) {
         Connection connection = out.get(new Key(abandon.part(), abandon.attempt()));
         if (connection != null) {
@@ -85,6 +87,7 @@
     }
 
     /** Starts nothing more at this searcher: what waits for a connection ends unsent. */
+    @Override
     public void halt(Searcher searcher) {
         for (Connection c : List.copyOf(byAddress.getOrDefault(searcher.address(), List.of()))) {
             c.halt();
@@ -92,6 +95,7 @@
     }
 
     /** Asks a searcher for its load, on a connection that is up or a new one. */
+    @Override
     public void probe(Effect.Probe probe) {
         Connection connection = connection(probe.searcher(), List.of());
         if (connection == null) {
@@ -102,6 +106,7 @@
     }
 
     /** Closes connections that have been idle for long, and ends probes that were not answered. */
+    @Override
     public void sweep() {
         for (List<Connection> list : List.copyOf(byAddress.values())) {
             for (Connection c : List.copyOf(list)) {
@@ -111,6 +116,7 @@
     }
 
     /** Closes everything. */
+    @Override
     public void close() {
         for (List<Connection> list : List.copyOf(byAddress.values())) {
             List.copyOf(list).forEach(c -> c.channel.close());
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -20,6 +20,10 @@
 import reeldeal.discovery.Watch;
 import reeldeal.http.HttpServer;
 import reeldeal.platform.PlatformFront;
+import reeldeal.search.SearchFront;
+import reeldeal.search.SearchOutlet;
+import reeldeal.searchers.ByKind;
+import reeldeal.searchers.Outlet;
 import reeldeal.searchers.Pool;
 
 /**
@@ -35,7 +39,7 @@
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final Reducer reducer;
-    private final Pool pool;
+    private final Outlet searchers;
     private final Watch watch;
     private final List<HttpServer> servers = new ArrayList<>();
     private final Map<Long, Consumer<Reply>> replies = new HashMap<>();
@@ -49,9 +53,12 @@
     public Broker(Config config) {
         this.config = config;
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
-        this.pool = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
+        Outlet frames = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
                 config.connectTimeoutMs(), config.sockets() / 4), config.settings().loadColumns(), clock::now,
                 this::event, Broker::log);
+        this.searchers = config.search() == null ? frames : new ByKind(frames, new SearchOutlet(group,
+                config.idleMs(), config.connectTimeoutMs(), clock::now, this::event),
+                config.search().searcherKinds());
         this.watch = new Watch(group, config.discovery(), this::event, Broker::log);
     }
 
@@ -63,11 +70,18 @@
         loop.submit(() -> {
             event(new Event.Told(ListKind.CACHED, config.known()));
             watch.start();
-            loop.scheduleWithFixedDelay(pool::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(searchers::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).sync();
         platform.listen(group, config.listen()).sync();
+        if (config.search() != null) {
+            HttpServer search = new HttpServer(config.sockets() / 8,
+                    new SearchFront(this, config.settings(), config.search(), config.name())::accept);
+            servers.add(search);
+            search.listen(group, config.search().listen()).sync();
+            log("search front on " + search.address());
+        }
         ready = true;
-        log("serving as " + config.name());
+        log("serving as " + config.name() + " on " + platform.address());
     }
 
     /**
@@ -88,7 +102,7 @@
         }
         loop.submit(() -> {
             watch.stop();
-            pool.close();
+            searchers.close();
         }).sync();
         log("stopped");
     }
@@ -127,6 +141,11 @@
         }
     }
 
+    @Override
+    public void after(double delayMs, Runnable run) {
+        loop.schedule(run, (long) (delayMs * 1e6), TimeUnit.NANOSECONDS);
+    }
+
     @Override
     public boolean ready() {
         return ready && !draining;
@@ -167,9 +186,9 @@
 
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.Call call) {
-            pool.call(call);
+            searchers.call(call);
         } else if (effect instanceof Effect.Abandon abandon) {
-            pool.abandon(abandon);
+            searchers.abandon(abandon);
         } else if (effect instanceof Effect.Answer answer) {
             Consumer<Reply> reply = replies.remove(answer.request());
             if (reply != null) {
@@ -179,9 +198,9 @@
             loop.schedule(() -> event(wake.due()), (long) (Math.max(0, wake.delayMs()) * 1e6),
                     TimeUnit.NANOSECONDS);
         } else if (effect instanceof Effect.Halt halt) {
-            pool.halt(halt.searcher());
+            searchers.halt(halt.searcher());
         } else if (effect instanceof Effect.Probe probe) {
-            pool.probe(probe);
+            searchers.probe(probe);
         } else if (effect instanceof Effect.Log line) {
             log(line.line());
         }
