--- /dev/null
+++ b/src/test/java/reeldeal/serve/Discovery.java
@@ -0,0 +1,97 @@
+package reeldeal.serve;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A stand-in for discovery: the whole list, and a watch that waits for changes. */
+final class Discovery implements AutoCloseable {
+    final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Map<String, String> entries = new LinkedHashMap<>();
+    private final Map<Integer, String> changes = new LinkedHashMap<>();
+    private int index = 1;
+    private String nextReply;
+
+    Discovery() throws IOException {
+        Thread t = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket s = server.accept();
+                    Thread each = new Thread(() -> serve(s));
+                    each.setDaemon(true);
+                    each.start();
+                }
+            } catch (IOException e) {
+                // closed: the test is over
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** Lists an entry, or a change to one, and tells the watches. */
+    synchronized void list(String name, String entry) {
+        index++;
+        entries.put(name, entry);
+        changes.put(index, entry);
+        notifyAll();
+    }
+
+    /** Answers the next watch with these words instead. */
+    synchronized void garble(String reply) {
+        nextReply = reply;
+        notifyAll();
+    }
+
+    synchronized String whole() {
+        return "{\"index\":" + index + ",\"snapshot\":true,\"endpoints\":[" + String.join(",", entries.values())
+                + "]}";
+    }
+
+    private synchronized String watch(int since) throws InterruptedException {
+        while (index <= since && nextReply == null) {
+            wait();
+        }
+        if (nextReply != null) {
+            String reply = nextReply;
+            nextReply = null;
+            return reply;
+        }
+        StringBuilder changed = new StringBuilder();
+        changes.forEach((at, entry) -> {
+            if (at > since) {
+                changed.append(changed.length() > 0 ? "," : "").append(entry);
+            }
+        });
+        return "{\"index\":" + index + ",\"snapshot\":false,\"endpoints\":[" + changed + "]}";
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            while (true) {
+                String head = Wire.head(in);
+                if (head == null) {
+                    return;
+                }
+                int at = head.indexOf("since=");
+                String body = at < 0 ? whole() : watch(Integer.parseInt(head.substring(at + 6, head.indexOf('&'))));
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n")
+                        .getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (IOException | InterruptedException e) {
+            // the program has left
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
