Start sooner: the build records a class-data archive from a rehearsed query

Without the file the program starts as before. Also: discovery's silence is logged once, not at each try.

--- a/src/main/java/reeldeal/config/Config.java
+++ b/src/main/java/reeldeal/config/Config.java
@@ -51,7 +51,8 @@
         return parse(bytes, environment);
     }
 
-    static Config parse(byte[] bytes, Map<String, String> environment) throws Invalid {
+    /** The configuration in these bytes. */
+    public static Config parse(byte[] bytes, Map<String, String> environment) throws Invalid {
         Map<String, String> values = new HashMap<>();
         List<Searcher> known = List.of();
         try (JsonParser json = JSON.createParser(bytes)) {
--- a/src/main/java/reeldeal/discovery/Watch.java
+++ b/src/main/java/reeldeal/discovery/Watch.java
@@ -27,6 +27,7 @@
     private final Consumer<String> log;
     private long index = -1;
     private boolean stopped;
+    private String complaint = "";
 
     public Watch(EventLoopGroup group, InetSocketAddress address, Consumer<Event> events, Consumer<String> log) {
         this.group = group;
@@ -60,15 +61,23 @@
             group.next().execute(this::start);
         } else {
             if (result instanceof HttpClient.NoResponse none) {
-                log.accept("discovery: " + none.why());
+                complain(none.why());
             }
             group.next().schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** Says what is wrong once: while discovery is down each try would say it again. */
+    private void complain(String what) {
+        if (!what.equals(complaint)) {
+            complaint = what;
+            log.accept("discovery: " + what);
+        }
+    }
+
     private boolean take(HttpMessage message) {
         if (message.status() != 200) {
-            log.accept("discovery: status " + message.status());
+            complain("status " + message.status());
             index = message.status() < 500 ? -1 : index;
             return false;
         }
@@ -79,10 +88,11 @@
                         catalog.searchers()));
             }
             index = catalog.index();
+            complaint = "";
             return true;
         } catch (IOException e) {
             // The old list stands; what a bad reply hid is asked for as a whole.
-            log.accept("discovery: bad reply: " + e.getMessage().lines().findFirst().orElse(""));
+            complain("bad reply: " + e.getMessage().lines().findFirst().orElse(""));
             index = -1;
             return false;
         }
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -107,6 +107,16 @@
         log("stopped");
     }
 
+    /** Brings an event from outside the loop. */
+    void tell(Event event) throws InterruptedException {
+        loop.submit(() -> event(event)).sync();
+    }
+
+    /** The platform front's port. */
+    int port() {
+        return servers.get(0).address().getPort();
+    }
+
     private boolean idle() {
         return reducer.openRequests() == 0 && events.isEmpty()
                 && servers.stream().allMatch(s -> s.openConnections() == 0);
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -1,18 +1,23 @@
 package reeldeal.serve;
 
-import java.io.IOException;
 import reeldeal.benchlink.BenchLink;
 import reeldeal.config.Config;
 
-/** The program: {@code serve} is a broker on sockets, {@code benchlink} the simulator's adapter. */
+/**
+ * The program: {@code serve} is a broker on sockets, {@code benchlink} the simulator's adapter,
+ * {@code rehearse} the build's training run.
+ */
 public final class Main {
     private Main() { }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws Exception {
         if (args.length == 1 && args[0].equals("benchlink")) {
             BenchLink.main(args);
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve();
+        } else if (args.length == 1 && args[0].equals("rehearse")) {
+            Rehearsal.run();
+            System.exit(0);
         } else {
             System.err.println("usage: java -jar reeldeal.jar serve|benchlink");
             System.exit(2);
