Add the replicated store and the DNS zone with dynamic updates, off by default

Found by the recording: the cached list of LB_CONFIG went over the zone's when both were told at the start (Broker.start); it is now left out where the zone tells the searchers.

--- a/src/main/java/reeldeal/config/Config.java
+++ b/src/main/java/reeldeal/config/Config.java
@@ -19,11 +19,12 @@
 /**
  * All that a broker is told at its start, read, checked and given defaults here and nowhere else. What the
  * module is to know stands in {@code settings}; beside it is what only sockets need. {@code search} is null
- * where the second front is off.
+ * where the second front is off; {@code discovery} is null where {@code dns} tells the searchers.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
         List<Searcher> known, Settings settings, List<String> classes, List<String> zones, List<String> kinds,
-        int shards, int partsPerConnection, double idleMs, int connectTimeoutMs, SearchConfig search) {
+        int shards, int partsPerConnection, double idleMs, int connectTimeoutMs, SearchConfig search,
+        boolean dns) {
 
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -36,23 +37,21 @@
         }
     }
 
-    /** Reads LB_CONFIG; LB_NAME, LB_LISTEN and LB_DISCOVERY go before what the file says. */
-    public static Config read(Map<String, String> environment) throws Invalid {
+    /** The bytes of the file that LB_CONFIG names, or null where it is not set. */
+    public static byte[] file(Map<String, String> environment) throws Invalid {
         String file = environment.get("LB_CONFIG");
         if (file == null || file.isEmpty()) {
-            throw new Invalid("LB_CONFIG: not set");
+            return null;
         }
-        byte[] bytes;
         try {
-            bytes = Files.readAllBytes(Path.of(file));
+            return Files.readAllBytes(Path.of(file));
         } catch (IOException | RuntimeException e) {
             throw new Invalid("LB_CONFIG: cannot be read: " + e.getMessage());
         }
-        return parse(bytes, environment);
     }
 
-    /** The configuration in these bytes. */
-    public static Config parse(byte[] bytes, Map<String, String> environment) throws Invalid {
+    /** The configuration in these bytes; LB_NAME, LB_LISTEN and LB_DISCOVERY go before what they say. */
+    public static Config parse(byte[] bytes, Map<String, String> environment, boolean dns) throws Invalid {
         Map<String, String> values = new HashMap<>();
         List<Searcher> known = List.of();
         try (JsonParser json = JSON.createParser(bytes)) {
@@ -90,13 +89,13 @@
         });
         int shards = (int) number(settings, "FamilyInfo.Ranges", 0, 0);
         return new Config(values.getOrDefault("name", "broker"), address(values, "listen"),
-                address(values, "discovery"), (int) number(values, "limits.sockets", 1024, 64), known,
+                dns && !values.containsKey("discovery") ? null : address(values, "discovery"), (int) number(values, "limits.sockets", 1024, 64), known,
                 settings(settings, values.getOrDefault("seed", "0")), names(settings),
                 list(settings, "Zones"), list(settings, "Kinds"),
                 shards, (int) number(settings, "PolicyLimits.StreamsPerConn", 32, 1),
                 number(settings, "PolicyLimits.ConnIdleMs", 30_000, 1),
                 (int) number(settings, "PolicyLimits.DialTimeoutMs", 250, 1),
-                SearchConfig.read(environment, names(settings), shards));
+                SearchConfig.read(environment, names(settings), shards), dns);
     }
 
     private static void take(Map<String, String> values, Map<String, String> environment, String key,
--- /dev/null
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -0,0 +1,83 @@
+package reeldeal.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import reeldeal.config.Config.Invalid;
+import reeldeal.store.StoreConfig;
+
+/**
+ * The replicated store and the zone kept in it, as a file under {@code deploy/} says; where there is none, both
+ * are off. {@code dnsListen} is null where only the store is wanted.
+ */
+public record StoreFile(StoreConfig store, InetSocketAddress dnsListen, String origin, String zoneFile) {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final String FILE = "deploy/store.json";
+
+    /** The file's content, or null where there is none; REELDEAL_STORE names another file. */
+    public static StoreFile read(Map<String, String> environment) throws Invalid {
+        String named = environment.getOrDefault("REELDEAL_STORE", "");
+        Path file = Path.of(named.isEmpty() ? FILE : named);
+        if (named.isEmpty() && !Files.exists(file)) {
+            return null;
+        }
+        Map<String, String> values = new HashMap<>();
+        try (JsonParser json = JSON.createParser(Files.readAllBytes(file))) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new Invalid("store: not a JSON object");
+            }
+            JsonPaths.read(json, "", values, 0);
+        } catch (IOException e) {
+            throw new Invalid("store: cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        Map<String, InetSocketAddress> nodes = new TreeMap<>();
+        for (String key : values.keySet()) {
+            if (key.startsWith("nodes.")) {
+                nodes.put(key.substring("nodes.".length()), loopback(values, key));
+            }
+        }
+        String node = text(values, "node");
+        String writer = text(values, "writer");
+        if (!nodes.containsKey(node) || !nodes.containsKey(writer)) {
+            throw new Invalid("store nodes: " + node + " or " + writer + " is not among them");
+        }
+        String term = text(values, "term");
+        if (!term.matches("[1-9][0-9]{0,17}")) {
+            throw new Invalid("store term: not a whole number above 0: " + term);
+        }
+        StoreConfig store = new StoreConfig(node, writer, Long.parseLong(term), nodes,
+                Path.of(text(values, "folder")));
+        if (!values.containsKey("dns.listen")) {
+            return new StoreFile(store, null, null, null);
+        }
+        try {
+            return new StoreFile(store, loopback(values, "dns.listen"), text(values, "dns.origin"),
+                    Files.readString(Path.of(text(values, "dns.zone_file"))));
+        } catch (IOException e) {
+            throw new Invalid("store dns.zone_file: cannot be read: " + e.getMessage());
+        }
+    }
+
+    private static String text(Map<String, String> values, String key) throws Invalid {
+        String value = values.get(key);
+        if (value == null || value.isEmpty()) {
+            throw new Invalid("store " + key + ": not set");
+        }
+        return value;
+    }
+
+    private static InetSocketAddress loopback(Map<String, String> values, String key) throws Invalid {
+        InetSocketAddress address = Config.address(values, key);
+        if (address.isUnresolved() || !address.getAddress().isLoopbackAddress()) {
+            throw new Invalid("store " + key + ": not a loopback address: " + address.getHostString());
+        }
+        return address;
+    }
+}
--- a/src/main/java/reeldeal/searchers/Frames.java
+++ b/src/main/java/reeldeal/searchers/Frames.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
 import reeldeal.core.AttemptEnd;
@@ -14,53 +13,18 @@
 final class Frames {
     static final int MAX_FRAME = 256 * 1024;
 
-    /** One frame as it came. */
-    record Frame(char letter, byte[] rest) { }
-
     /** What an {@code A} frame says. */
     record Answer(String id, AttemptEnd end, String report) { }
 
-    private byte[] buffer = new byte[512];
-    private int end;
-
-    /** Takes further bytes. */
-    void feed(ByteBuf in) {
-        int length = in.readableBytes();
-        if (buffer.length < end + length) {
-            buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, end + length));
-        }
-        in.readBytes(buffer, end, length);
-        end += length;
-    }
-
-    /** Whether the bytes at hand can be no frame: a length of nothing, or beyond what is taken. */
-    boolean malformed() {
-        return end >= 4 && (length() < 1 || length() > MAX_FRAME);
-    }
-
-    /** The next frame, or null until all of it has come. */
-    Frame next() {
-        if (end < 4 || malformed() || end < 4 + length()) {
-            return null;
-        }
-        int whole = 4 + (int) length();
-        Frame frame = new Frame((char) (buffer[4] & 0xff), Arrays.copyOfRange(buffer, 5, whole));
-        System.arraycopy(buffer, whole, buffer, 0, end - whole);
-        end -= whole;
-        return frame;
-    }
-
-    private long length() {
-        return (buffer[0] & 0xffL) << 24 | (buffer[1] & 0xffL) << 16 | (buffer[2] & 0xffL) << 8 | buffer[3] & 0xffL;
-    }
+    private Frames() { }
 
-    /** Reads an {@code A} frame, or returns null where it is malformed. */
+    /** Reads an {@code A} frame, its letter included, or returns null where it is malformed. */
     static Answer answer(byte[] rest) {
-        int line = 0;
+        int line = 1;
         while (line < rest.length && rest[line] != '\n') {
             line++;
         }
-        String[] words = new String(rest, 0, line, StandardCharsets.UTF_8).split(" ");
+        String[] words = new String(rest, 1, line - 1, StandardCharsets.UTF_8).split(" ");
         if (line == rest.length || words.length != 4) {
             return null;
         }
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -27,6 +27,7 @@
 import reeldeal.core.Event;
 import reeldeal.core.Searcher;
 import reeldeal.decide.Aggregator.Outcome;
+import reeldeal.frames.FrameBuffer;
 
 /**
  * The connections to searchers: opened as needed, shared by calls up to the settings' bound, closed before
@@ -155,7 +156,7 @@
     /** One connection; the parts out on it are known by their names on the wire. */
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final String address;
-        private final Frames frames = new Frames();
+        private final FrameBuffer frames = new FrameBuffer(4, Frames.MAX_FRAME);
         private final Map<String, Effect.Send> waiting = new LinkedHashMap<>();
         private final Map<String, Boolean> written = new HashMap<>();
         private final List<List<Effect.Send>> queued = new ArrayList<>();
@@ -288,11 +289,9 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            ByteBuf in = (ByteBuf) message;
-            frames.feed(in);
-            in.release();
+            frames.feed((ByteBuf) message);
             usedAt = clock.getAsDouble();
-            for (Frames.Frame f = frames.next(); f != null && !closed; f = frames.next()) {
+            for (byte[] f = frames.next(); f != null && !closed; f = frames.next()) {
                 String bad = frame(f);
                 if (bad != null) {
                     log.accept("searcher " + address + ": " + bad);
@@ -306,10 +305,10 @@
         }
 
         /** Takes one frame; returns what is wrong with it, or null. */
-        private String frame(Frames.Frame frame) {
-            switch (frame.letter()) {
+        private String frame(byte[] frame) {
+            switch (frame[0]) {
                 case 'A' -> {
-                    Frames.Answer answer = Frames.answer(frame.rest());
+                    Frames.Answer answer = Frames.answer(frame);
                     if (answer == null) {
                         return "malformed answer";
                     }
@@ -326,17 +325,17 @@
                     if (probe == null) {
                         return "a reply to no probe";
                     }
-                    String rest = new String(frame.rest(), StandardCharsets.UTF_8);
+                    String rest = new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8);
                     events.accept(new Event.Probed(probe.searcher().name(),
                             rest.equals("err") ? Outcome.ERROR : Outcome.OK, clock.getAsDouble() - probe.at(),
                             Report.read(rest, loadColumns)));
                     return null;
                 }
                 case 'E' -> {
-                    return "refused a frame: " + new String(frame.rest(), StandardCharsets.UTF_8);
+                    return "refused a frame: " + new String(frame, 1, frame.length - 1, StandardCharsets.UTF_8);
                 }
                 default -> {
-                    return "unknown frame " + (int) frame.letter();
+                    return "unknown frame " + frame[0];
                 }
             }
         }
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -35,8 +34,8 @@
     private static final int SWEEP_MS = 1_000;
 
     private final Config config;
-    private final EventLoopGroup group = new NioEventLoopGroup(1);
-    private final EventLoop loop = group.next();
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final Clock clock = new Clock();
     private final Reducer reducer;
     private final Outlet searchers;
@@ -50,7 +49,9 @@
     private boolean ready;
     private boolean draining;
 
-    public Broker(Config config) {
+    public Broker(EventLoopGroup group, Config config) {
+        this.group = group;
+        this.loop = group.next();
         this.config = config;
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
         Outlet frames = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
@@ -59,7 +60,7 @@
         this.searchers = config.search() == null ? frames : new ByKind(frames, new SearchOutlet(group,
                 config.idleMs(), config.connectTimeoutMs(), clock::now, this::event),
                 config.search().searcherKinds());
-        this.watch = new Watch(group, config.discovery(), this::event, Broker::log);
+        this.watch = config.discovery() == null ? null : new Watch(group, config.discovery(), this::event, Broker::log);
     }
 
     /** Listens and serves; throws where an address cannot be had. */
@@ -68,8 +69,13 @@
         HttpServer platform = new HttpServer(config.sockets() / 2, front::accept);
         servers.add(platform);
         loop.submit(() -> {
-            event(new Event.Told(ListKind.CACHED, config.known()));
-            watch.start();
+            if (!config.dns()) {
+                // Where the zone tells the searchers, a list from a file must not go over what it told.
+                event(new Event.Told(ListKind.CACHED, config.known()));
+            }
+            if (watch != null) {
+                watch.start();
+            }
             loop.scheduleWithFixedDelay(searchers::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).sync();
         platform.listen(group, config.listen()).sync();
@@ -101,15 +107,17 @@
             Thread.sleep(10);
         }
         loop.submit(() -> {
-            watch.stop();
+            if (watch != null) {
+                watch.stop();
+            }
             searchers.close();
         }).sync();
         log("stopped");
     }
 
     /** Brings an event from outside the loop. */
-    void tell(Event event) throws InterruptedException {
-        loop.submit(() -> event(event)).sync();
+    void tell(Event event) {
+        loop.execute(() -> event(event));
     }
 
     /** The platform front's port. */
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -1,53 +1,109 @@
 package reeldeal.serve;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import reeldeal.benchlink.BenchLink;
 import reeldeal.config.Config;
+import reeldeal.config.StoreFile;
+import reeldeal.core.Event;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.dns.DnsServer;
+import reeldeal.store.Change;
+import reeldeal.store.Store;
 
 /**
  * The program: {@code serve} is a broker on sockets, {@code benchlink} the simulator's adapter,
  * {@code rehearse} the build's training run.
  */
 public final class Main {
+    private static final String CONFIG_KEY = "config/broker";
+    private static final int LOOK_MS = 50;
+
     private Main() { }
 
     public static void main(String[] args) throws Exception {
-        if (args.length == 1 && args[0].equals("benchlink")) {
-            BenchLink.main(args);
-        } else if (args.length == 1 && args[0].equals("serve")) {
-            serve();
-        } else if (args.length == 1 && args[0].equals("rehearse")) {
-            Rehearsal.run();
-            System.exit(0);
-        } else {
-            System.err.println("usage: java -jar reeldeal.jar serve|benchlink");
-            System.exit(2);
+        String mode = args.length == 1 ? args[0] : "";
+        switch (mode) {
+            case "benchlink" -> BenchLink.main(args);
+            case "serve" -> serve();
+            case "rehearse" -> {
+                Rehearsal.run();
+                System.exit(0);
+            }
+            default -> {
+                System.err.println("usage: java -jar reeldeal.jar serve|benchlink");
+                System.exit(2);
+            }
         }
     }
 
     private static void serve() {
-        Config config;
         try {
-            config = Config.read(System.getenv());
-        } catch (Config.Invalid e) {
+            StoreFile storeFile = StoreFile.read(System.getenv());
+            byte[] file = Config.file(System.getenv());
+            if (file == null && storeFile == null) {
+                throw new IllegalArgumentException("LB_CONFIG: not set");
+            }
+            EventLoopGroup group = new NioEventLoopGroup(1);
+            Store store = null;
+            if (storeFile != null) {
+                store = new Store(group, storeFile.store(), Broker::log);
+                store.start().sync();
+            }
+            byte[] bytes = file != null ? file : kept(group, store);
+            boolean dns = storeFile != null && storeFile.dnsListen() != null;
+            Broker broker = new Broker(group, Config.parse(bytes, System.getenv(), dns));
+            if (file != null && store != null) {
+                keep(group, store, new String(file, StandardCharsets.UTF_8));
+            }
+            stopInOrder(broker);
+            if (dns) {
+                DnsServer server = new DnsServer(group, store, storeFile.origin(), storeFile.zoneFile(), Broker::log);
+                Broker.log("dns on " + server.start(storeFile.dnsListen(),
+                        searchers -> broker.tell(new Event.Told(ListKind.WHOLE, searchers))));
+            }
+            broker.start();
+        } catch (Config.Invalid | IllegalArgumentException e) {
             System.err.println("reeldeal: " + e.getMessage());
-            System.exit(2);
-            return;
+            Runtime.getRuntime().halt(2);
+        } catch (Exception e) {
+            System.err.println("reeldeal: cannot serve: " + e.getMessage());
+            Runtime.getRuntime().halt(1);
         }
-        Broker broker = new Broker(config);
+    }
+
+    /** The configuration that the store keeps; waits until there is one. */
+    private static byte[] kept(EventLoopGroup group, Store store) throws InterruptedException {
+        while (true) {
+            String kept = group.next().submit(() -> store.get(CONFIG_KEY)).sync().getNow();
+            if (kept != null) {
+                return kept.getBytes(StandardCharsets.UTF_8);
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    /** Has the store keep this configuration, once this node writes. */
+    private static void keep(EventLoopGroup group, Store store, String text) {
+        group.next().execute(() -> store.whenWriting(() -> {
+            if (!text.equals(store.get(CONFIG_KEY))) {
+                store.write(List.of(new Change(CONFIG_KEY, text)),
+                        result -> Broker.log("store: configuration kept: " + result));
+            }
+        }));
+    }
+
+    /** On SIGTERM the broker ends in order; that is status 0, not the signal's. */
+    private static void stopInOrder(Broker broker) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 broker.drain();
             } catch (InterruptedException | RuntimeException e) {
                 System.err.println("reeldeal: stopped early: " + e);
             }
-            // The hook runs on SIGTERM: the orderly end is status 0, not the signal's.
             Runtime.getRuntime().halt(0);
         }));
-        try {
-            broker.start();
-        } catch (Exception e) {
-            System.err.println("reeldeal: cannot serve: " + e.getMessage());
-            Runtime.getRuntime().halt(1);
-        }
     }
 }
--- a/src/main/java/reeldeal/serve/Rehearsal.java
+++ b/src/main/java/reeldeal/serve/Rehearsal.java
@@ -1,5 +1,6 @@
 package reeldeal.serve;
 
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -28,11 +29,11 @@
     static void run() throws Exception {
         Config config;
         try (InputStream in = Rehearsal.class.getResourceAsStream("/reeldeal/rehearsal.json")) {
-            config = Config.parse(in.readAllBytes(), Map.of());
+            config = Config.parse(in.readAllBytes(), Map.of(), false);
         }
         try (ServerSocket searcher = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             searcher.setSoTimeout(5_000);
-            Broker broker = new Broker(config);
+            Broker broker = new Broker(new NioEventLoopGroup(1), config);
             broker.start();
             broker.tell(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "127.0.0.1:"
                     + searcher.getLocalPort(), "a", "std", 0, 0, 1, Listed.READY))));
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -81,6 +81,7 @@
     private Process program;
     private Path folder;
     private boolean searchFront;
+    private boolean store;
 
     public ExchangeTest(String name, Path script) {
         this.script = script;
@@ -122,12 +123,11 @@
                 p.socket.close();
             }
         }
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path f : files.toList()) {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path f : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
                 Files.delete(f);
             }
         }
-        Files.delete(folder);
     }
 
     /** Puts in what was kept, and turns escapes into bytes. */
@@ -144,6 +144,10 @@
         switch (words[0]) {
             case "searcher" -> searcher(words[1], rest);
             case "list" -> list(words[1], rest);
+            case "store" -> store = true;
+            case "kill" -> program.destroyForcibly().waitFor();
+            case "tear" -> Files.write(folder.resolve("state/log"), new byte[] {0, 0, 0, 9, 1, 2, 3},
+                    java.nio.file.StandardOpenOption.APPEND);
             case "garble" -> discovery.garble(words[1]);
             case "search-front" -> searchFront = true;
             case "start" -> start(words.length > 1 ? words[1] : "");
@@ -172,6 +176,7 @@
         boolean frames = !options.contains("search");
         parties.put(name, new Party(false, frames, server));
         kept.put("address-" + name, "127.0.0.1:" + server.getLocalPort());
+        kept.put("port-" + name, String.valueOf(server.getLocalPort()));
         kept.put("cell-" + name, options.split(" ")[0]);
         kept.put("kind-" + name, frames ? "std" : "archive");
         list(name, "ready");
@@ -187,6 +192,9 @@
         String config = Files.readString(Path.of("src/test/resources/config.json"))
                 .replace("$known", discovery.whole())
                 .replace("$discovery", "127.0.0.1:" + discovery.server.getLocalPort());
+        if (store) {
+            config = config.replaceFirst("\"discovery\":\"[^\"]*\",", "");
+        }
         if (!breakIt.isEmpty()) {
             config = config.replace(breakIt, breakIt + "x");
         }
@@ -198,14 +206,26 @@
         if (searchFront) {
             builder.environment().put("REELDEAL_SEARCH", "src/test/resources/search.json");
         }
+        if (store) {
+            Path zone = Files.writeString(folder.resolve("zone"), fill(
+                    Files.readString(Path.of("src/test/resources/searchers.zone"))));
+            String file = "{\"node\":\"n0\",\"writer\":\"n0\",\"term\":1,\"nodes\":{\"n0\":\"127.0.0.1:0\"},"
+                    + "\"folder\":\"" + folder.resolve("state") + "\",\"dns\":{\"listen\":\"127.0.0.1:0\","
+                    + "\"origin\":\"searchers.test\",\"zone_file\":\"" + zone + "\"}}";
+            builder.environment().put("REELDEAL_STORE", Files.writeString(folder.resolve("store.json"), file)
+                    .toString());
+            if (Files.exists(folder.resolve("state"))) {
+                builder.environment().remove("LB_CONFIG"); // the store keeps it
+            }
+        }
         program = builder.start();
         BufferedReader lines = new BufferedReader(
                 new InputStreamReader(program.getInputStream(), StandardCharsets.UTF_8));
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             log.add(line);
-            Matcher m = Pattern.compile("(serving|search front).* on .*/([0-9.]+:[0-9]+)").matcher(line);
+            Matcher m = Pattern.compile("(serving|search front|dns).* on .*/([0-9.]+:[0-9]+)").matcher(line);
             if (m.matches()) {
-                addresses.put(m.group(1).startsWith("search") ? "search" : "platform", m.group(2));
+                addresses.put(m.group(1).equals("serving") ? "platform" : m.group(1).split(" ")[0], m.group(2));
             }
             if (line.startsWith("serving")) {
                 break;
@@ -227,7 +247,7 @@
         switch (verb) {
             case "<" -> {
                 InputStream in = party.in(PATIENCE_MS);
-                String got = party.frames ? Wire.frame(in) : Wire.http(in);
+                String got = name.startsWith("dns") ? Wire.hex(in) : party.frames ? Wire.frame(in) : Wire.http(in);
                 count(name, party, got);
                 compare(rest, got);
             }
@@ -239,6 +259,7 @@
                     assertTrue(program.isAlive());
                 }
             }
+            case "hex" -> party.socket.getOutputStream().write(Wire.hex(rest));
             case "raw" -> party.socket.getOutputStream().write(rest.getBytes(StandardCharsets.UTF_8));
             case "accept" -> {
                 party.socket = null;
--- a/src/test/java/reeldeal/serve/Wire.java
+++ b/src/test/java/reeldeal/serve/Wire.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 
 /** What stand-ins read and write, as text: an HTTP message as its first words and its body, or a frame. */
 final class Wire {
@@ -73,4 +74,21 @@
         return ByteBuffer.allocate(5 + rest.length).putInt(1 + rest.length).put((byte) text.charAt(0)).put(rest)
                 .array();
     }
+
+    /** A message with two bytes of length, as hexadecimal. */
+    static String hex(InputStream in) throws IOException {
+        DataInputStream data = new DataInputStream(in);
+        return HexFormat.of().formatHex(data.readNBytes(data.readUnsignedShort()));
+    }
+
+    /** Such a message from hexadecimal in which quotes hold text. */
+    static byte[] hex(String text) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        String[] pieces = text.split("\"", -1);
+        for (int i = 0; i < pieces.length; i++) {
+            out.writeBytes(i % 2 == 1 ? pieces[i].getBytes(StandardCharsets.ISO_8859_1)
+                    : HexFormat.of().parseHex(pieces[i].replace(" ", "")));
+        }
+        return ByteBuffer.allocate(2 + out.size()).putShort((short) out.size()).put(out.toByteArray()).array();
+    }
 }
