Bound what the fronts read into memory, and keep one event's fault from the others

Checked: 512 connections that each hold back the end of a 64 KiB body could take over 64 MB of heap; what is read is now bounded at 8 MiB for each front (HttpServer). A fault on one event no longer ends the program (Reducer.guarded); names of given-up parts are forgotten after a minute (Pool).

--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -88,13 +88,13 @@
     public List<Effect> turn(double time, List<Event> events) {
         now = Math.max(now, time);
         for (Event event : events) {
-            play(event);
+            guarded(event);
         }
         // An attempt that the rules barred ends unsent; the module hears of it once it is done acting.
         while (!barred.isEmpty()) {
             List<Event> ended = List.copyOf(barred);
             barred.clear();
-            ended.forEach(this::play);
+            ended.forEach(this::guarded);
         }
         // Calls come last, so that what is abandoned is told to a searcher before anything new starts.
         formCalls();
@@ -108,6 +108,16 @@
         return open.size();
     }
 
+    /** A fault on one event must not take the others with it: each request still has its deadline's answer. */
+    private void guarded(Event event) {
+        try {
+            play(event);
+        } catch (RuntimeException e) {
+            effects.add(new Effect.Log("fault on " + event.getClass().getSimpleName() + ": " + e + " at "
+                    + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?")));
+        }
+    }
+
     private void play(Event event) {
         if (event instanceof Event.Arrived e) {
             arrived(e.request());
--- a/src/main/java/reeldeal/http/HttpParser.java
+++ b/src/main/java/reeldeal/http/HttpParser.java
@@ -44,6 +44,11 @@
         return end < MAX_HEAD + 2 * MAX_BODY;
     }
 
+    /** How much memory the bytes at hand take. */
+    public int heldBytes() {
+        return buffer.length;
+    }
+
     /** Whether bytes of a message that is not complete are held. */
     public boolean inMessage() {
         return end > 0;
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -23,15 +23,23 @@
 public final class HttpServer {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final byte[] BUSY = "too much is being read\n".getBytes(StandardCharsets.US_ASCII);
+
     private final int maxConnections;
+    private final long maxHeldBytes;
     private final BiConsumer<HttpMessage, Exchange> front;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listener;
+    private long heldBytes;
     private boolean closing;
 
-    /** A server for a front; more connections than this are closed at once, to stay within descriptors. */
-    public HttpServer(int maxConnections, BiConsumer<HttpMessage, Exchange> front) {
+    /**
+     * A server for a front. More connections than this are closed at once, to stay within descriptors; a
+     * request that would have unread messages take more memory than this is turned away.
+     */
+    public HttpServer(int maxConnections, long maxHeldBytes, BiConsumer<HttpMessage, Exchange> front) {
         this.maxConnections = maxConnections;
+        this.maxHeldBytes = maxHeldBytes;
         this.front = front;
     }
 
@@ -74,6 +82,11 @@
         }
     }
 
+    /** How much memory the messages take that are being read. */
+    long heldBytes() {
+        return heldBytes;
+    }
+
     /** Connections that are open. */
     public int openConnections() {
         return connections.size();
@@ -92,6 +105,7 @@
                 return;
             }
             connections.add(this);
+            heldBytes += parser.heldBytes();
         }
 
         @Override
@@ -100,7 +114,15 @@
             byte[] bytes = new byte[in.readableBytes()];
             in.readBytes(bytes);
             in.release();
+            int before = parser.heldBytes();
             parser.feed(bytes, 0, bytes.length);
+            heldBytes += parser.heldBytes() - before;
+            if (heldBytes > maxHeldBytes && parser.heldBytes() > before && current == null) {
+                // Many slow or large messages at once must not take the memory that all others live on.
+                current = new Pending(this, false);
+                current.respond(503, Map.of("Content-Type", "text/plain"), BUSY);
+                return;
+            }
             advance();
         }
 
@@ -111,7 +133,9 @@
                 context.channel().config().setAutoRead(parser.hasRoom());
                 return;
             }
+            int before = parser.heldBytes();
             HttpParser.Result result = parser.next();
+            heldBytes += parser.heldBytes() - before;
             if (result instanceof HttpParser.Complete complete) {
                 current = new Pending(this, complete.message().keepsAlive());
                 front.accept(complete.message(), current);
@@ -127,7 +151,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            connections.remove(this);
+            if (connections.remove(this)) {
+                heldBytes -= parser.heldBytes();
+            }
             Pending left = current;
             current = null;
             if (left != null && left.gone != null) {
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -14,11 +14,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import reeldeal.core.AttemptEnd;
@@ -37,6 +35,7 @@
     private static final int MAX_PER_SEARCHER = 8;
     private static final double IDLE_SHARE = 0.6; // of the idle time at which searchers reset a connection
     private static final double PROBE_TIMEOUT_MS = 250;
+    private static final double SPENT_MS = 60_000; // names given up are kept so long
 
     /** What the pool keeps to: parts on a connection, the searchers' idle limit, time to connect. */
     public record Bounds(int partsPerConnection, double idleMs, int connectTimeoutMs, int connections) { }
@@ -160,7 +159,7 @@
         private final Map<String, Effect.Send> waiting = new LinkedHashMap<>();
         private final Map<String, Boolean> written = new HashMap<>();
         private final List<List<Effect.Send>> queued = new ArrayList<>();
-        private final Set<String> spent = new HashSet<>();
+        private final Map<String, Double> spent = new LinkedHashMap<>();
         private final ArrayDeque<ProbeOut> probes = new ArrayDeque<>();
         private Channel channel;
         private boolean up;
@@ -190,7 +189,7 @@
             return !closed && waiting.size() + sends.size() <= bounds.partsPerConnection()
                     && usedAt > clock.getAsDouble() - IDLE_SHARE * bounds.idleMs()
                     && sends.stream().map(Frames::partName)
-                            .noneMatch(name -> spent.contains(name) || waiting.containsKey(name));
+                            .noneMatch(name -> spent.containsKey(name) || waiting.containsKey(name));
         }
 
         void take(List<Effect.Send> sends) {
@@ -227,7 +226,7 @@
                     if (!unsent) {
                         // What lies half written may still run: only what was never handed over is unsent.
                         written.remove(name);
-                        spent.add(name);
+                        spent.put(name, clock.getAsDouble());
                         channel.writeAndFlush(Frames.frame('X', name.getBytes(StandardCharsets.UTF_8)));
                     }
                     end(send, new AttemptEnd.Abandoned(unsent ? Reach.UNSENT : Reach.SENT, abandon.timedOut()),
@@ -265,6 +264,8 @@
 
         void sweep() {
             double now = clock.getAsDouble();
+            // No part is sent again after so long, so its name may be forgotten.
+            spent.values().removeIf(at -> at < now - SPENT_MS);
             while (!probes.isEmpty() && probes.peek().at() < now - PROBE_TIMEOUT_MS) {
                 // Replies carry no number, so after a lost one the connection's next cannot be told apart.
                 close("probe not answered");
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -31,6 +31,7 @@
  */
 public final class Broker implements Port {
     private static final double DRAIN_ACCEPT_MS = 500;
+    private static final long MAX_UNREAD = 8L << 20; // bytes of messages being read, for each front
     private static final int SWEEP_MS = 1_000;
 
     private final Config config;
@@ -66,7 +67,7 @@
     /** Listens and serves; throws where an address cannot be had. */
     public void start() throws Exception {
         PlatformFront front = new PlatformFront(this, config.settings(), config.classes(), config.shards());
-        HttpServer platform = new HttpServer(config.sockets() / 2, front::accept);
+        HttpServer platform = new HttpServer(config.sockets() / 2, MAX_UNREAD, front::accept);
         servers.add(platform);
         loop.submit(() -> {
             if (!config.dns()) {
@@ -80,7 +81,7 @@
         }).sync();
         platform.listen(group, config.listen()).sync();
         if (config.search() != null) {
-            HttpServer search = new HttpServer(config.sockets() / 8,
+            HttpServer search = new HttpServer(config.sockets() / 8, MAX_UNREAD,
                     new SearchFront(this, config.settings(), config.search(), config.name())::accept);
             servers.add(search);
             search.listen(group, config.search().listen()).sync();
@@ -190,15 +191,7 @@
         lastTurn = clock.now();
         List<Event> now = events;
         events = new ArrayList<>();
-        List<Effect> effects;
-        try {
-            effects = reducer.turn(lastTurn, now);
-        } catch (RuntimeException e) {
-            // A fault in the decisions leaves no state to go on from: the platform starts the broker anew.
-            e.printStackTrace();
-            Runtime.getRuntime().halt(70);
-            return;
-        }
+        List<Effect> effects = reducer.turn(lastTurn, now);
         effects.forEach(this::carryOut);
     }
 
--- /dev/null
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -0,0 +1,106 @@
+package reeldeal.core;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.Before;
+import org.junit.Test;
+import reeldeal.decide.Aggregator.Effect;
+import reeldeal.decide.Aggregator.Layout;
+import reeldeal.decide.Aggregator.Limits;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.QueryClass;
+import reeldeal.decide.Aggregator.Rules;
+import reeldeal.decide.Aggregator.Settings;
+
+/** The core's own promises, on a clock that the test moves. */
+public class ReducerTest {
+    private static final Settings SETTINGS = new Settings(7, 0, 1, 0, 5, false, new Layout(1, 1, 2, 68),
+            List.of(new QueryClass(1000, 0, 3000, 1, 0.5, Effect.SAFE, 2000, 1, 1, 0.9, 0)), List.of(), 0.1,
+            new Limits(4, false, true, false, 20, 1000), new Rules(500, 0.18, 18000, 2.5, 3000, 0, 0, 0, 10000),
+            List.of());
+    private final Reducer reducer = new Reducer(0, SETTINGS, List.of("a"), List.of());
+    private final List<reeldeal.core.Effect> done = new ArrayList<>();
+    private double now;
+
+    @Before
+    public void list() {
+        play(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, Listed.READY))));
+    }
+
+    private void play(Event... events) {
+        done.clear();
+        done.addAll(reducer.turn(now, List.of(events)));
+    }
+
+    private static Event ask(long id, int parts) {
+        List<Request.Piece> pieces = new ArrayList<>();
+        for (int i = 0; i < parts; i++) {
+            pieces.add(new Request.Piece(i, 1.0 / parts, 0));
+        }
+        return new Event.Arrived(new Request(id, "q" + id, 0, null, 2000, false, "x", pieces));
+    }
+
+    private <T> List<T> all(Class<T> kind) {
+        return done.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    @Test
+    public void oneTurnsSendsToOneSearcherFormCallsOfAtMostABatch() {
+        play(ask(1, 3), ask(2, 2));
+        assertEquals(List.of(2, 2, 1), all(reeldeal.core.Effect.Call.class).stream().map(c -> c.sends().size()).toList());
+    }
+
+    @Test
+    public void whatWouldFillTheBrokerIsRefusedAtOnceWithATimeToComeBack() {
+        for (long id = 1; id <= 5; id++) {
+            play(ask(id, 4));
+        }
+        Reply reply = all(reeldeal.core.Effect.Answer.class).get(0).reply();
+        assertTrue(reply.toString(), reply instanceof Reply.Refused r && r.comeBackMs() > 0);
+        assertTrue(reducer.openRequests() <= 4);
+    }
+
+    @Test
+    public void aDeadlineThatTheModuleLetsPassIsAnsweredOnce() {
+        play(ask(1, 1));
+        now = 1995;
+        play(new Event.DeadlineDue(1));
+        assertEquals(1, all(reeldeal.core.Effect.Answer.class).size());
+        assertEquals(0, reducer.openRequests());
+        play(new Event.DeadlineDue(1), new Event.AttemptEnded(1, 0, new AttemptEnd.Served(1, "late"), new double[0]));
+        assertEquals(List.of(), all(reeldeal.core.Effect.Answer.class));
+    }
+
+    @Test
+    public void aSecondCopyIsBarredWhoeverAsksForIt() {
+        play(ask(1, 1));
+        assertEquals(1, all(reeldeal.core.Effect.Call.class).size());
+        long server = 0xcbf29ce484222325L;
+        server = (server ^ 's') * 0x100000001b3L >>> 12;
+        reducer.send(1, server, 100);
+        play();
+        assertEquals(List.of(), all(reeldeal.core.Effect.Call.class));
+        assertTrue(all(reeldeal.core.Effect.Log.class).get(0).line().contains("stopped by the rules"));
+    }
+
+    @Test
+    public void aFaultOnOneEventLeavesTheOthers() {
+        play(new Event.Arrived(null), ask(3, 1));
+        assertEquals(1, all(reeldeal.core.Effect.Call.class).size());
+        assertTrue(all(reeldeal.core.Effect.Log.class).get(0).line().startsWith("fault on Arrived"));
+    }
+
+    @Test
+    public void anAbandonedAttemptThatWasNeverWrittenMayBeSentAgain() {
+        play(ask(1, 1));
+        now = 20;
+        play(new Event.AttemptEnded(1, 0, new AttemptEnd.Abandoned(AttemptEnd.Reach.UNSENT, false), new double[0]));
+        now = 600;
+        play(new Event.TimerDue(1));
+        assertEquals(1, all(reeldeal.core.Effect.Call.class).get(0).sends().get(0).attempt());
+    }
+}
