--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -150,7 +150,7 @@
                     java.nio.file.StandardOpenOption.APPEND);
             case "garble" -> discovery.garble(words[1]);
             case "search-front" -> searchFront = true;
-            case "start" -> start(words.length > 1 ? words[1] : "");
+            case "start" -> start(words.length > 1 ? words[1] : "", rest);
             case "client" -> {
                 Party client = new Party(true, false, null);
                 String[] at = addresses.get(words[1]).split(":");
@@ -188,15 +188,15 @@
                 + kept.get("cell-" + name) + ",\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":0}");
     }
 
-    private void start(String breakIt) throws Exception {
+    private void start(String setting, String otherwise) throws Exception {
         String config = Files.readString(Path.of("src/test/resources/config.json"))
                 .replace("$known", discovery.whole())
                 .replace("$discovery", "127.0.0.1:" + discovery.server.getLocalPort());
         if (store) {
             config = config.replaceFirst("\"discovery\":\"[^\"]*\",", "");
         }
-        if (!breakIt.isEmpty()) {
-            config = config.replace(breakIt, breakIt + "x");
+        if (!setting.isEmpty()) {
+            config = config.replace(setting, otherwise);
         }
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx48m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
