--- /dev/null
+++ b/src/test/java/reeldeal/searchers/PoolTest.java
@@ -0,0 +1,124 @@
+package reeldeal.searchers;
+
+import static org.junit.Assert.assertArrayEquals;
+import static org.junit.Assert.assertEquals;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.DataInputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import reeldeal.core.AttemptEnd;
+import reeldeal.core.Effect;
+import reeldeal.core.Event;
+import reeldeal.core.Request;
+import reeldeal.core.Searcher;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.decide.Aggregator.Outcome;
+
+/** What a pool says of attempts that end before they are written, and of probes. */
+public class PoolTest {
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private ServerSocket server;
+    private Searcher searcher;
+    private Pool pool;
+    private volatile double now;
+
+    @Before
+    public void listen() throws Exception {
+        server = new ServerSocket(0, 9, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(20_000);
+        searcher = new Searcher("s", "127.0.0.1:" + server.getLocalPort(), "a", "", 0, 0, 1, Listed.READY);
+        pool = new Pool(group, new Pool.Bounds(2, 30_000, 10_000, 3), List.of("cpu", "waiting"), () -> now,
+                events::add, line -> { });
+    }
+
+    @After
+    public void stop() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void on(Runnable work) throws Exception {
+        group.next().submit(work).sync();
+    }
+
+    private Event next() throws Exception {
+        return events.poll(20, TimeUnit.SECONDS);
+    }
+
+    private Effect.Call call(long part) {
+        Request request = new Request(part, "q" + part, 0, null, 1_000, false, "x", List.of());
+        return new Effect.Call(searcher, List.of(new Effect.Send(part, 0, request, 3, 500, null)));
+    }
+
+    private static void frame(Socket socket, String expected) throws Exception {
+        socket.setSoTimeout(20_000);
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        assertEquals(expected, new String(in.readNBytes(in.readInt())));
+    }
+
+    @Test
+    public void whatIsGivenUpOrHaltedBeforeItsConnectionIsUpNeverRuns() throws Exception {
+        on(() -> {
+            pool.call(call(1));
+            pool.call(call(2));
+            pool.abandon(new Effect.Abandon(1, 0, true));
+            pool.halt(searcher);
+            pool.call(call(3));
+        });
+        assertEquals(new AttemptEnd.Abandoned(AttemptEnd.Reach.UNSENT, true), ((Event.AttemptEnded) next()).end());
+        assertEquals(new AttemptEnd.Broken(AttemptEnd.Reach.UNSENT, "searcher drains"),
+                ((Event.AttemptEnded) next()).end());
+        frame(server.accept(), "Qq3.3 3 d=500 1\nx");
+    }
+
+    @Test
+    public void aConnectionCarriesNoMoreThanItsPartsAndThePoolNoMoreThanItsConnections() throws Exception {
+        on(() -> {
+            for (long part = 1; part <= 7; part++) {
+                pool.call(call(part));
+            }
+        });
+        Event.AttemptEnded beyond = (Event.AttemptEnded) next();
+        assertEquals(7, beyond.part());
+        assertEquals(new AttemptEnd.Broken(AttemptEnd.Reach.UNSENT, "no connection to be had"), beyond.end());
+    }
+
+    @Test
+    public void aNameGivenUpIsNotUsedAgainOnItsConnection() throws Exception {
+        on(() -> pool.call(call(1)));
+        Socket first = server.accept();
+        frame(first, "Qq1.3 3 d=500 1\nx");
+        on(() -> pool.abandon(new Effect.Abandon(1, 0, false)));
+        assertEquals(new AttemptEnd.Abandoned(AttemptEnd.Reach.SENT, false), ((Event.AttemptEnded) next()).end());
+        frame(first, "Xq1.3");
+        on(() -> pool.call(call(1)));
+        frame(server.accept(), "Qq1.3 3 d=500 1\nx");
+    }
+
+    @Test
+    public void aProbeBringsTheReportInTheSettingsOrderOrItsFailure() throws Exception {
+        on(() -> pool.probe(new Effect.Probe(searcher)));
+        Socket socket = server.accept();
+        frame(socket, "L");
+        String report = "Lqueue=3,util=0.61";
+        socket.getOutputStream().write(new byte[] {0, 0, 0, (byte) report.length()});
+        socket.getOutputStream().write(report.getBytes());
+        Event.Probed probed = (Event.Probed) next();
+        assertEquals(Outcome.OK, probed.outcome());
+        assertArrayEquals(new double[] {0.61, 3}, probed.load(), 0);
+        on(() -> pool.probe(new Effect.Probe(searcher)));
+        now = 300;
+        on(pool::sweep);
+        assertEquals(Outcome.TIMEOUT, ((Event.Probed) next()).outcome());
+    }
+}
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -223,7 +223,7 @@
                 new InputStreamReader(program.getInputStream(), StandardCharsets.UTF_8));
         for (String line = lines.readLine(); line != null; line = lines.readLine()) {
             log.add(line);
-            Matcher m = Pattern.compile("(serving|search front|dns).* on .*/([0-9.]+:[0-9]+)").matcher(line);
+            Matcher m = Pattern.compile("(serving|search front|dns).* on .*/([0-9.]+:[0-9]+).*").matcher(line);
             if (m.matches()) {
                 addresses.put(m.group(1).equals("serving") ? "platform" : m.group(1).split(" ")[0], m.group(2));
             }
