--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -321,7 +321,11 @@
                     .handler(this).connect(config.nodes().get(name));
             channel = connecting.channel();
             connecting.addListener(f -> {
-                if (f.isSuccess()) {
+                if (f.isSuccess() && connecting.channel().localAddress()
+                        .equals(connecting.channel().remoteAddress())) {
+                    // On loopback a connect to a port nobody listens on can meet itself.
+                    connecting.channel().close();
+                } else if (f.isSuccess()) {
                     write(connecting.channel(), 'H', out -> {
                         out.writeLong(config.term());
                         out.writeUTF(config.node());
--- a/src/test/java/reeldeal/serve/Discovery.java
+++ b/src/test/java/reeldeal/serve/Discovery.java
@@ -16,6 +16,8 @@
     private final Map<Integer, String> changes = new LinkedHashMap<>();
     private int index = 1;
     private String nextReply;
+    private int heardUpTo;
+    private int wholeAsked;
 
     Discovery() throws IOException {
         Thread t = new Thread(() -> {
@@ -42,10 +44,23 @@
         notifyAll();
     }
 
-    /** Answers the next watch with these words instead. */
-    synchronized void garble(String reply) {
+    /** Answers the next watch with these words instead, and waits until the program asks anew. */
+    synchronized void garble(String reply) throws InterruptedException {
+        int before = wholeAsked;
         nextReply = reply;
         notifyAll();
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (wholeAsked == before && System.nanoTime() < until) {
+            wait(50);
+        }
+    }
+
+    /** Waits until a watch asks for what is newer than all there is: the program has taken the rest. */
+    synchronized void awaitHeard() throws InterruptedException {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (heardUpTo < index && System.nanoTime() < until) {
+            wait(50);
+        }
     }
 
     synchronized String whole() {
@@ -53,7 +68,15 @@
                 + "]}";
     }
 
+    private synchronized String asked() {
+        wholeAsked++;
+        notifyAll();
+        return whole();
+    }
+
     private synchronized String watch(int since) throws InterruptedException {
+        heardUpTo = Math.max(heardUpTo, since);
+        notifyAll();
         while (index <= since && nextReply == null) {
             wait();
         }
@@ -80,7 +103,7 @@
                     return;
                 }
                 int at = head.indexOf("since=");
-                String body = at < 0 ? whole() : watch(Integer.parseInt(head.substring(at + 6, head.indexOf('&'))));
+                String body = at < 0 ? asked() : watch(Integer.parseInt(head.substring(at + 6, head.indexOf('&'))));
                 socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n")
                         .getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,6 +21,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -143,7 +146,10 @@
         String rest = words.length > 2 ? words[2] : "";
         switch (words[0]) {
             case "searcher" -> searcher(words[1], rest);
-            case "list" -> list(words[1], rest);
+            case "list" -> {
+                list(words[1], rest);
+                discovery.awaitHeard();
+            }
             case "store" -> store = true;
             case "kill" -> program.destroyForcibly().waitFor();
             case "tear" -> Files.write(folder.resolve("state/log"), new byte[] {0, 0, 0, 9, 1, 2, 3},
@@ -259,6 +265,18 @@
                     assertTrue(program.isAlive());
                 }
             }
+            case "udp" -> {
+                String[] halves = rest.split(" :: ");
+                try (DatagramSocket socket = new DatagramSocket()) {
+                    byte[] asked = Wire.hex(halves[0]);
+                    socket.setSoTimeout(PATIENCE_MS);
+                    socket.send(new DatagramPacket(asked, 2, asked.length - 2,
+                            party.socket.getRemoteSocketAddress()));
+                    DatagramPacket got = new DatagramPacket(new byte[512], 512);
+                    socket.receive(got);
+                    compare(halves[1], HexFormat.of().formatHex(got.getData(), 0, got.getLength()));
+                }
+            }
             case "hex" -> party.socket.getOutputStream().write(Wire.hex(rest));
             case "raw" -> party.socket.getOutputStream().write(rest.getBytes(StandardCharsets.UTF_8));
             case "accept" -> {
--- a/src/test/java/reeldeal/store/StoreTest.java
+++ b/src/test/java/reeldeal/store/StoreTest.java
@@ -8,13 +8,14 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.RandomAccessFile;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -36,14 +37,16 @@
 
     @Before
     public void choosePorts() throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
+        // Below the ports that connections are given by themselves: none of those may take a killed node's.
+        int port = 20_000 + new Random().nextInt(10_000);
         for (String node : List.of("a", "b", "c")) {
-            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            held.add(s);
-            nodes.put(node, (InetSocketAddress) s.getLocalSocketAddress());
-        }
-        for (ServerSocket s : held) {
-            s.close();
+            while (!nodes.containsKey(node)) {
+                try (ServerSocket free = new ServerSocket(++port, 1, InetAddress.getLoopbackAddress())) {
+                    nodes.put(node, (InetSocketAddress) free.getLocalSocketAddress());
+                } catch (BindException e) {
+                    port++;
+                }
+            }
         }
     }
 
