Answer a request whose body is not read, or whose front fails, before its connection ends

Seen in review: closing on unread bytes resets the connection, so a client still sending an oversize body could lose its 413 (HttpServer.respond); a front's exception closed the connection without an answer (HttpServer.advance).

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -11,12 +11,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
 /** Accepts connections and hands each request to its front, one at a time on a connection. */
@@ -25,6 +27,9 @@
 
     private static final byte[] BUSY = "too much is being read\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final byte[] FAULT = "the broker failed on this request\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int LINGER_MS = 1_000;
+
     private final int maxConnections;
     private final long maxHeldBytes;
     private final BiConsumer<HttpMessage, Exchange> front;
@@ -96,6 +101,8 @@
         private final HttpParser parser = new HttpParser(false);
         private ChannelHandlerContext context;
         private Pending current;
+        private boolean unread;
+        private boolean ended;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -114,11 +121,15 @@
             byte[] bytes = new byte[in.readableBytes()];
             in.readBytes(bytes);
             in.release();
+            if (ended) {
+                return; // the last response is written: what still comes is not read
+            }
             int before = parser.heldBytes();
             parser.feed(bytes, 0, bytes.length);
             heldBytes += parser.heldBytes() - before;
             if (heldBytes > maxHeldBytes && parser.heldBytes() > before && current == null) {
                 // Many slow or large messages at once must not take the memory that all others live on.
+                unread = true;
                 current = new Pending(this, false);
                 current.respond(503, Map.of("Content-Type", "text/plain"), BUSY);
                 return;
@@ -138,9 +149,15 @@
             heldBytes += parser.heldBytes() - before;
             if (result instanceof HttpParser.Complete complete) {
                 current = new Pending(this, complete.message().keepsAlive());
-                front.accept(complete.message(), current);
+                try {
+                    front.accept(complete.message(), current);
+                } catch (RuntimeException e) {
+                    // Exceptions stop at the connection; its client is still owed an answer.
+                    new Pending(this, false).failed();
+                }
                 context.channel().config().setAutoRead(current == null || parser.hasRoom());
             } else if (result instanceof HttpParser.Malformed bad) {
+                unread = true;
                 current = new Pending(this, false);
                 current.respond(bad.status(), Map.of("Content-Type", "text/plain"),
                         (bad.why() + "\n").getBytes(StandardCharsets.UTF_8));
@@ -187,7 +204,15 @@
             boolean close = !keepAlive || closing;
             ChannelFuture written = connection.context.writeAndFlush(
                     HttpWriter.response(status, headers, body, close));
-            if (close) {
+            connection.ended = close;
+            if (close && connection.unread) {
+                // To close on bytes that are not read resets the connection, and the answer may be lost with it.
+                written.addListener(f -> {
+                    ((SocketChannel) connection.context.channel()).shutdownOutput();
+                    connection.context.executor().schedule(() -> connection.context.close(), LINGER_MS,
+                            TimeUnit.MILLISECONDS);
+                });
+            } else if (close) {
                 written.addListener(ChannelFutureListener.CLOSE);
             } else {
                 connection.context.executor().execute(() -> {
@@ -199,6 +224,16 @@
             }
         }
 
+        /** Takes the place of an exchange whose front failed. */
+        void failed() {
+            Pending before = connection.current;
+            connection.current = this;
+            respond(500, Map.of("Content-Type", "text/plain"), FAULT);
+            if (before != null && before.gone != null) {
+                before.gone.run();
+            }
+        }
+
         @Override
         public void onGone(Runnable run) {
             gone = run;
