--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -1,5 +1,6 @@
 package reeldeal.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
  * gets exactly one final answer in time. Used by one thread; it reads no clock and does no I/O.
  */
 public final class Reducer implements Aggregator.Actions {
+    private static final double NAME_MS = 3_000; // for which a name that was used is not taken again
 
     private static final class Asked {
         final Request request;
@@ -65,6 +67,8 @@
     private final List<String> kinds;
     private final Aggregator module;
     private final Map<Long, Asked> open = new HashMap<>();
+    private final Map<String, Double> names = new HashMap<>();
+    private final ArrayDeque<String> namesLeaving = new ArrayDeque<>();
     private final Map<Long, PartState> parts = new HashMap<>();
     private final Map<Long, Searcher> searchers = new HashMap<>();
     private final Map<String, Long> ids = new HashMap<>();
@@ -135,7 +139,9 @@
                 effects.add(new Effect.Abandon(e.part(), e.attempt(), true));
             }
         } else if (event instanceof Event.Probed e) {
-            module.probed(now, id(e.searcher()), e.outcome(), e.elapsedMs(), e.load());
+            if (ids.containsKey(e.searcher())) {
+                module.probed(now, id(e.searcher()), e.outcome(), e.elapsedMs(), e.load());
+            }
         } else if (event instanceof Event.Told e) {
             told(e);
         } else if (event instanceof Event.TimerDue e) {
@@ -156,6 +162,14 @@
         if (open.containsKey(request.id())) {
             return;
         }
+        // A part's name at the searchers is made from its request's: two of one name could not be told apart.
+        while (!namesLeaving.isEmpty() && names.get(namesLeaving.peek()) < now) {
+            names.remove(namesLeaving.poll());
+        }
+        if (names.containsKey(request.name())) {
+            effects.add(new Effect.Answer(request.id(), new Reply.Invalid("the request's id is in use")));
+            return;
+        }
         if (held >= settings.limits().maxHeld()) {
             // The settings' bound: with so much open, further requests are turned away before the module.
             effects.add(new Effect.Answer(request.id(), new Reply.Refused(settings.limits().maxComeBackMs())));
@@ -163,6 +177,7 @@
         }
         Asked asked = new Asked(request);
         open.put(request.id(), asked);
+        names.put(request.name(), Double.POSITIVE_INFINITY);
         List<Part> told = new ArrayList<>();
         for (Request.Piece piece : request.pieces()) {
             told.add(newPart(asked, piece.shard(), piece.weight(), piece.key()));
@@ -226,22 +241,37 @@
             // A searcher missing from a whole list is gone.
             Map<Long, Searcher> missing = new HashMap<>(searchers);
             e.entries().forEach(s -> missing.remove(id(s.name())));
-            missing.values().forEach(s -> effects.add(new Effect.Halt(s)));
+            missing.values().forEach(this::left);
         }
         for (Searcher s : e.entries()) {
-            Searcher before = searchers.put(id(s.name()), s);
-            if (s.listed() != Listed.READY) {
-                effects.add(new Effect.Halt(s));
-            }
+            long id = id(s.name());
+            Searcher before = searchers.put(id, s);
             if (before != null && !before.address().equals(s.address())) {
                 effects.add(new Effect.Halt(before));
             }
-            servers.add(new Server(id(s.name()), Math.max(0, zones.indexOf(s.zone())), s.cell(), s.startedMs(),
+            if (s.listed() == Listed.GONE) {
+                left(s);
+            } else if (s.listed() != Listed.READY) {
+                effects.add(new Effect.Halt(s));
+            }
+            servers.add(new Server(id, Math.max(0, zones.indexOf(s.zone())), s.cell(), s.startedMs(),
                     s.size(), Math.max(0, kinds.indexOf(s.kind())), s.listed()));
         }
         module.servers(now, e.kind(), servers);
     }
 
+    /** Nothing more is started at a searcher that left, and nothing of it is kept: new ones come all day. */
+    private void left(Searcher s) {
+        effects.add(new Effect.Halt(s));
+        long id = ids.remove(s.name());
+        searchers.remove(id);
+        for (Effect.Send unsent : sends.getOrDefault(id, List.of())) {
+            barred.add(new Event.AttemptEnded(unsent.part(), unsent.attempt(), new AttemptEnd.Barred(),
+                    new double[0]));
+        }
+        sends.remove(id);
+    }
+
     /** The module's number for a searcher: made from its name, so that it is the same at every broker. */
     private long id(String name) {
         return ids.computeIfAbsent(name, n -> {
@@ -366,6 +396,8 @@
 
     private void close(Asked asked) {
         open.remove(asked.request.id());
+        names.put(asked.request.name(), now + NAME_MS);
+        namesLeaving.add(asked.request.name());
         held -= 1 + asked.parts;
         asked.step.forEach(this::over);
     }
--- a/src/main/java/reeldeal/core/Reply.java
+++ b/src/main/java/reeldeal/core/Reply.java
@@ -14,6 +14,9 @@
     /** Refused: trying again is harmless, best after so long. */
     record Refused(double comeBackMs) implements Reply { }
 
+    /** Not taken: the request is one that the core cannot hold beside those that it has. */
+    record Invalid(String why) implements Reply { }
+
     /** Failed: nothing is promised. */
     record Failed(String why) implements Reply { }
 }
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -55,12 +55,13 @@
         boolean ready, trusted;
         int goodInRow, ejections, calls;
         double slowness = 1, pace = 1, lateness = 1;
-        double slownessAt, restsUntil, trialAt, credit, creditAt = -1;
+        double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
         Call open;
         final List<Attempt> out = new ArrayList<>();
 
         Leaf(long id, boolean trusted) {
             this.id = id;
+            this.leftAt = Double.POSITIVE_INFINITY;
             this.trusted = trusted;
         }
     }
@@ -203,6 +204,9 @@
             // Told to drain or gone: nothing new from this moment on; the grace period is not used.
             leaf.ready = s.listed() == Listed.READY;
         }
+        leaves.values().forEach(l -> l.leftAt = l.ready ? Double.POSITIVE_INFINITY : Math.min(l.leftAt, clock));
+        // One that may yet come back keeps its record for a while; new ones come all day, so none for good.
+        leaves.values().removeIf(l -> l.out.isEmpty() && l.leftAt + rules.coldMs() < clock);
         cells.forEach(List::clear);
         for (Leaf leaf : leaves.values()) {
             if (leaf.ready && leaf.listed.cell() < cells.size()) {
--- a/src/main/java/reeldeal/discovery/Watch.java
+++ b/src/main/java/reeldeal/discovery/Watch.java
@@ -23,19 +23,31 @@
 
     private final EventLoopGroup group;
     private final HttpClient client;
+    private final InetSocketAddress address;
     private final Consumer<Event> events;
     private final Consumer<String> log;
+    private final Runnable heard;
     private long index = -1;
+    private boolean hasHeard;
     private boolean stopped;
     private String complaint = "";
 
-    public Watch(EventLoopGroup group, InetSocketAddress address, Consumer<Event> events, Consumer<String> log) {
+    /** A watch at this address; {@code heard} is run once, just before the first list that it tells. */
+    public Watch(EventLoopGroup group, InetSocketAddress address, Consumer<Event> events, Consumer<String> log,
+            Runnable heard) {
         this.group = group;
+        this.address = address;
+        this.heard = heard;
         this.client = new HttpClient(group, address, 1_000);
         this.events = events;
         this.log = log;
     }
 
+    /** Where it asks. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
     /** Asks for the whole list, then for changes, until stopped. */
     public void start() {
         if (stopped) {
@@ -83,6 +95,10 @@
         }
         try {
             Catalog catalog = Catalog.parse(message.body());
+            if (!hasHeard) {
+                hasHeard = true;
+                heard.run();
+            }
             if (catalog.snapshot() || !catalog.searchers().isEmpty()) {
                 events.accept(new Event.Told(catalog.snapshot() ? ListKind.WHOLE : ListKind.CHANGES,
                         catalog.searchers()));
--- a/src/main/java/reeldeal/frames/FrameBuffer.java
+++ b/src/main/java/reeldeal/frames/FrameBuffer.java
@@ -5,9 +5,11 @@
 
 /** Gathers frames that begin with their length, most significant byte first, with a bound on it. */
 public final class FrameBuffer {
+    private static final int KEPT = 512;
+
     private final int prefix;
     private final int max;
-    private byte[] buffer = new byte[512];
+    private byte[] buffer = new byte[KEPT];
     private int end;
 
     /** For lengths of this many bytes, two or four, up to this length. */
@@ -32,6 +34,11 @@
         return end >= prefix && (length() < 1 || length() > max);
     }
 
+    /** Whether bytes of a frame that is not complete are held. */
+    public boolean inFrame() {
+        return end > 0;
+    }
+
     /** The next frame without its length, or null until all of it has come. */
     public byte[] next() {
         if (end < prefix || malformed() || end < prefix + length()) {
@@ -41,6 +48,9 @@
         byte[] frame = Arrays.copyOfRange(buffer, prefix, whole);
         System.arraycopy(buffer, whole, buffer, 0, end - whole);
         end -= whole;
+        if (end == 0 && buffer.length > KEPT) {
+            buffer = new byte[KEPT]; // one large frame must not hold its memory for the connection's life
+        }
         return frame;
     }
 
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -20,6 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 
 /** Accepts connections and hands each request to its front, one at a time on a connection. */
 public final class HttpServer {
@@ -28,21 +30,38 @@
     private static final byte[] BUSY = "too much is being read\n".getBytes(StandardCharsets.US_ASCII);
 
     private static final byte[] FAULT = "the broker failed on this request\n".getBytes(StandardCharsets.US_ASCII);
-    private static final int LINGER_MS = 1_000;
+    private static final byte[] SLOW = "the request did not come whole in time\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int LINGER_MS = 500; // for which a client may read the answer to what was not read
+    private static final int LINGER_BYTES = 256 * 1024; // of that which are read and dropped
+    private static final int FIRST_MS = 2_000; // from connecting to the end of the first request
+    private static final int MESSAGE_MS = 2_000; // from a later message's first byte to its last
+    private static final int IDLE_MS = 4_000; // between requests
+    private static final int UNREAD_MS = 4_000; // for which a client may leave an answer unread
+    private static final int CROWDED_MS = 250; // a silent connection this old gives way where there are too many
+    private static final int SWEEP_MS = 250;
+    private static final int REPEAT_MS = 100; // each further bad request on a connection waits longer by this
+    private static final int MAX_REPEATS = 4;
 
     private final int maxConnections;
     private final long maxHeldBytes;
     private final BiConsumer<HttpMessage, Exchange> front;
     private final Set<Connection> connections = new LinkedHashSet<>();
+    private final LongSupplier clock;
     private Channel listener;
     private long heldBytes;
     private boolean closing;
 
     /**
-     * A server for a front. More connections than this are closed at once, to stay within descriptors; a
-     * request that would have unread messages take more memory than this is turned away.
+     * A server for a front. Where there would be more connections than this, one on which nothing is asked
+     * gives way, or else the new one, to stay within descriptors; a request that would have unread messages
+     * take more memory than this is turned away.
      */
     public HttpServer(int maxConnections, long maxHeldBytes, BiConsumer<HttpMessage, Exchange> front) {
+        this(maxConnections, maxHeldBytes, front, () -> System.nanoTime() / 1_000_000);
+    }
+
+    HttpServer(int maxConnections, long maxHeldBytes, BiConsumer<HttpMessage, Exchange> front, LongSupplier clock) {
+        this.clock = clock;
         this.maxConnections = maxConnections;
         this.maxHeldBytes = maxHeldBytes;
         this.front = front;
@@ -55,6 +74,7 @@
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2_048, 16_384))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -63,9 +83,34 @@
                 });
         ChannelFuture bound = bootstrap.bind(address);
         listener = bound.channel();
+        group.next().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
+    /** Ends what has taken its time: clients that say nothing, or half of something, or hold a connection. */
+    void sweep() {
+        long now = clock.getAsLong();
+        Set.copyOf(connections).forEach(c -> c.expire(now));
+    }
+
+    /** Makes room for a connection by closing the one that is least likely to be used; false where none is. */
+    private boolean makeRoom() {
+        long now = clock.getAsLong();
+        Connection least = null;
+        for (Connection c : connections) {
+            if (c.current == null && (c.asked || now - c.quietSince >= CROWDED_MS)
+                    && (least == null || !c.asked && least.asked
+                            || c.asked == least.asked && c.quietSince < least.quietSince)) {
+                least = c;
+            }
+        }
+        if (least == null) {
+            return false;
+        }
+        least.context.close();
+        return true;
+    }
+
     /** The address listened on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
@@ -101,13 +146,19 @@
         private final HttpParser parser = new HttpParser(false);
         private ChannelHandlerContext context;
         private Pending current;
+        private boolean asked;
         private boolean unread;
         private boolean ended;
+        private boolean pausing;
+        private long quietSince = clock.getAsLong();
+        private long messageSince;
+        private int dropped;
+        private int badInRow;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             context = ctx;
-            if (connections.size() >= maxConnections) {
+            if (connections.size() >= maxConnections && !makeRoom()) {
                 ctx.close();
                 return;
             }
@@ -118,30 +169,48 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf in = (ByteBuf) message;
+            if (ended) {
+                // The last response is written. What still comes is dropped, up to a bound on the work it makes.
+                dropped += in.readableBytes();
+                in.release();
+                if (dropped > LINGER_BYTES) {
+                    ctx.channel().config().setAutoRead(false);
+                }
+                return;
+            }
             byte[] bytes = new byte[in.readableBytes()];
             in.readBytes(bytes);
             in.release();
-            if (ended) {
-                return; // the last response is written: what still comes is not read
-            }
             int before = parser.heldBytes();
+            if (!parser.inMessage()) {
+                messageSince = clock.getAsLong();
+            }
             parser.feed(bytes, 0, bytes.length);
             heldBytes += parser.heldBytes() - before;
             if (heldBytes > maxHeldBytes && parser.heldBytes() > before && current == null) {
                 // Many slow or large messages at once must not take the memory that all others live on.
-                unread = true;
-                current = new Pending(this, false);
-                current.respond(503, Map.of("Content-Type", "text/plain"), BUSY);
+                turnDown(503, BUSY);
                 return;
             }
             advance();
         }
 
+        /** Answers what cannot be read, or not in time, and reads no further request. */
+        private void turnDown(int status, byte[] why) {
+            unread = true;
+            current = new Pending(this, false);
+            current.respond(status, Map.of("Content-Type", "text/plain"), why);
+        }
+
         /** Begins the next request if none is being answered. */
         private void advance() {
-            if (current != null) {
-                // A client that sends ahead without end is not read on; it would fill the memory.
-                context.channel().config().setAutoRead(parser.hasRoom());
+            if (current != null || pausing || !context.channel().isWritable()) {
+                // A client that sends ahead without end, or reads no answer, is not read on; it would fill the
+                // memory.
+                context.channel().config().setAutoRead(parser.hasRoom() && context.channel().isWritable());
+                return;
+            }
+            if (ended) {
                 return;
             }
             int before = parser.heldBytes();
@@ -149,6 +218,7 @@
             heldBytes += parser.heldBytes() - before;
             if (result instanceof HttpParser.Complete complete) {
                 current = new Pending(this, complete.message().keepsAlive());
+                asked = true;
                 try {
                     front.accept(complete.message(), current);
                 } catch (RuntimeException e) {
@@ -157,12 +227,56 @@
                 }
                 context.channel().config().setAutoRead(current == null || parser.hasRoom());
             } else if (result instanceof HttpParser.Malformed bad) {
-                unread = true;
-                current = new Pending(this, false);
-                current.respond(bad.status(), Map.of("Content-Type", "text/plain"),
-                        (bad.why() + "\n").getBytes(StandardCharsets.UTF_8));
-            } else if (((HttpParser.NeedMore) result).expectsContinue()) {
-                context.writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+                turnDown(bad.status(), (bad.why() + "\n").getBytes(StandardCharsets.UTF_8));
+            } else {
+                context.channel().config().setAutoRead(true);
+                if (((HttpParser.NeedMore) result).expectsContinue()) {
+                    context.writeAndFlush(Unpooled.wrappedBuffer(CONTINUE));
+                }
+            }
+        }
+
+        /** After a response that leaves the connection open. */
+        private void answered(int status) {
+            quietSince = messageSince = clock.getAsLong();
+            badInRow = status >= 400 && status < 500 && status != 409 && status != 429 ? badInRow + 1 : 0;
+            if (badInRow > 1) {
+                // One who sends the same bad request again and again must not have the time of the others.
+                pausing = true;
+                context.executor().schedule(this::goOn, (long) REPEAT_MS * Math.min(badInRow - 1, MAX_REPEATS),
+                        TimeUnit.MILLISECONDS);
+            } else {
+                context.executor().execute(this::goOn);
+            }
+        }
+
+        private void goOn() {
+            pausing = false;
+            if (context.channel().isActive()) {
+                advance();
+            }
+        }
+
+        private void expire(long now) {
+            boolean inMessage = parser.inMessage();
+            if (current != null || pausing) {
+                return;
+            }
+            if (ended || !context.channel().isWritable()) {
+                if (now - quietSince >= UNREAD_MS) {
+                    context.close();
+                }
+            } else if (inMessage && now - (asked ? messageSince + MESSAGE_MS : quietSince + FIRST_MS) >= 0) {
+                turnDown(408, SLOW);
+            } else if (!inMessage && now - quietSince >= (asked ? IDLE_MS : FIRST_MS)) {
+                context.close();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (ctx.channel().isWritable()) {
+                advance();
             }
         }
 
@@ -206,6 +320,7 @@
                     HttpWriter.response(status, headers, body, close));
             connection.ended = close;
             if (close && connection.unread) {
+                connection.quietSince = clock.getAsLong();
                 // To close on bytes that are not read resets the connection, and the answer may be lost with it.
                 written.addListener(f -> {
                     ((SocketChannel) connection.context.channel()).shutdownOutput();
@@ -213,14 +328,10 @@
                             TimeUnit.MILLISECONDS);
                 });
             } else if (close) {
+                connection.quietSince = clock.getAsLong();
                 written.addListener(ChannelFutureListener.CLOSE);
             } else {
-                connection.context.executor().execute(() -> {
-                    if (connection.context.channel().isActive()) {
-                        connection.context.channel().config().setAutoRead(true);
-                        connection.advance();
-                    }
-                });
+                connection.answered(status);
             }
         }
 
--- a/src/main/java/reeldeal/http/HttpWriter.java
+++ b/src/main/java/reeldeal/http/HttpWriter.java
@@ -9,7 +9,7 @@
 public final class HttpWriter {
     private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
             Map.entry(201, "Created"), Map.entry(400, "Bad Request"), Map.entry(404, "Not Found"),
-            Map.entry(405, "Method Not Allowed"), Map.entry(409, "Conflict"),
+            Map.entry(405, "Method Not Allowed"), Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"),
             Map.entry(413, "Content Too Large"), Map.entry(429, "Too Many Requests"),
             Map.entry(431, "Request Header Fields Too Large"), Map.entry(500, "Internal Server Error"),
             Map.entry(503, "Service Unavailable"), Map.entry(504, "Gateway Timeout"),
--- a/src/main/java/reeldeal/platform/PlatformFront.java
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -69,7 +69,9 @@
                 plain(exchange, 400, e.getMessage().lines().findFirst().orElse("malformed body"));
                 return;
             }
-            double wait = left == null ? settings.classes().get(klass).deadlineMs() : Double.parseDouble(left);
+            // No client waits longer than its class: a greater figure must not hold room for longer.
+            double longest = settings.classes().get(klass).deadlineMs();
+            double wait = left == null ? longest : Math.min(longest, Double.parseDouble(left));
             long id = port.nextRequest();
             exchange.onGone(() -> port.gone(id));
             port.submit(new Request(id, name, klass, keyed ? key : null, now + wait,
@@ -85,6 +87,8 @@
             exchange.respond(503, refused.comeBackMs() <= 0 ? PLAIN : Map.of("Content-Type", "text/plain",
                     "Retry-After", String.format(Locale.ROOT, "%.3f", refused.comeBackMs() / 1000)),
                     "refused\n".getBytes(StandardCharsets.UTF_8));
+        } else if (reply instanceof Reply.Invalid invalid) {
+            plain(exchange, 409, invalid.why());
         } else {
             plain(exchange, 500, ((Reply.Failed) reply).why());
         }
--- a/src/main/java/reeldeal/platform/QueryBody.java
+++ b/src/main/java/reeldeal/platform/QueryBody.java
@@ -16,7 +16,9 @@
 
 /** The platform's JSON: the body of a query and that of an answer. */
 record QueryBody(String text, List<Piece> pieces) {
-    private static final JsonFactory JSON = new JsonFactory();
+    // A field given twice could be read in two ways.
+    private static final JsonFactory JSON = new JsonFactory().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+    private static final double ROUNDING = 0.005; // a part, by which the weights of a query may miss 1
 
     /** Reads a query's body; throws IOException with a plain message where it is none. */
     static QueryBody parse(byte[] body, int shards, int mostPieces) throws IOException {
@@ -48,6 +50,7 @@
     private static List<Piece> pieces(JsonParser json, int shards, int most) throws IOException {
         List<Piece> all = new ArrayList<>();
         Set<Integer> seen = new HashSet<>();
+        double sum = 0;
         while (json.nextToken() != JsonToken.END_ARRAY) {
             expect(json.currentToken() == JsonToken.START_OBJECT, "a shard is no object");
             expect(all.size() < most, "too many shards");
@@ -74,10 +77,12 @@
                 }
             }
             expect(shard >= 0 && (shards == 0 || shard < shards), "shard out of range");
-            expect(weight >= 0 && weight <= 1.001, "weight out of range");
+            expect(weight >= 0 && weight <= 1 + ROUNDING, "weight out of range");
             expect(seen.add(shard), "shard named twice");
             all.add(new Piece(shard, weight, key));
+            sum += weight;
         }
+        expect(all.isEmpty() || Math.abs(sum - 1) <= ROUNDING * Math.min(all.size(), 10), "the weights do not add up to 1");
         return all;
     }
 
--- a/src/main/java/reeldeal/search/SearchFront.java
+++ b/src/main/java/reeldeal/search/SearchFront.java
@@ -249,6 +249,9 @@
             return new Item(429, refused.comeBackMs(), new Item.Error("rejected_execution_exception",
                     "the broker cannot serve this now; trying again is harmless", Map.of()));
         }
+        if (reply instanceof Reply.Invalid invalid) {
+            return Item.error(409, "version_conflict_engine_exception", invalid.why());
+        }
         if (reply instanceof Reply.Failed failed) {
             return Item.error(504, "search_phase_execution_exception", failed.why());
         }
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -15,8 +15,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import reeldeal.core.AttemptEnd;
@@ -36,6 +39,8 @@
     private static final double IDLE_SHARE = 0.6; // of the idle time at which searchers reset a connection
     private static final double PROBE_TIMEOUT_MS = 250;
     private static final double SPENT_MS = 60_000; // names given up are kept so long
+    private static final int SERVED = 64; // last names served on a connection, to know a copy by
+    private static final int FRAME_MS = 250; // in which a frame that has begun must be complete
 
     /** What the pool keeps to: parts on a connection, the searchers' idle limit, time to connect. */
     public record Bounds(int partsPerConnection, double idleMs, int connectTimeoutMs, int connections) { }
@@ -124,7 +129,7 @@
     }
 
     private Connection connection(Searcher searcher, List<Effect.Send> sends) {
-        List<Connection> list = byAddress.computeIfAbsent(searcher.address(), a -> new ArrayList<>());
+        List<Connection> list = byAddress.getOrDefault(searcher.address(), List.of());
         Connection best = null;
         for (Connection c : list) {
             // Calls gather on the connections that are up, so that few stay open.
@@ -140,7 +145,7 @@
         }
         int colon = searcher.address().lastIndexOf(':');
         Connection fresh = new Connection(searcher.address());
-        list.add(fresh);
+        byAddress.computeIfAbsent(searcher.address(), a -> new ArrayList<>()).add(fresh);
         open++;
         fresh.connect(new InetSocketAddress(searcher.address().substring(0, colon),
                 Integer.parseInt(searcher.address().substring(colon + 1))));
@@ -160,10 +165,13 @@
         private final Map<String, Boolean> written = new HashMap<>();
         private final List<List<Effect.Send>> queued = new ArrayList<>();
         private final Map<String, Double> spent = new LinkedHashMap<>();
+        private final Set<String> served = new LinkedHashSet<>();
         private final ArrayDeque<ProbeOut> probes = new ArrayDeque<>();
         private Channel channel;
         private boolean up;
         private boolean closed;
+        private long framesRead;
+        private boolean frameTimed;
         private double usedAt = clock.getAsDouble();
 
         Connection(String address) {
@@ -208,7 +216,9 @@
         private void write(List<Effect.Send> sends) {
             channel.writeAndFlush(Frames.call(sends)).addListener(f -> {
                 if (f.isSuccess()) {
-                    sends.forEach(s -> written.put(Frames.partName(s), true));
+                    // One that has ended meanwhile is of no more interest, and would stay for good.
+                    sends.stream().filter(s -> waiting.get(Frames.partName(s)) == s)
+                            .forEach(s -> written.put(Frames.partName(s), true));
                 }
             });
         }
@@ -293,6 +303,7 @@
             frames.feed((ByteBuf) message);
             usedAt = clock.getAsDouble();
             for (byte[] f = frames.next(); f != null && !closed; f = frames.next()) {
+                framesRead++;
                 String bad = frame(f);
                 if (bad != null) {
                     log.accept("searcher " + address + ": " + bad);
@@ -302,6 +313,30 @@
             if (!closed && frames.malformed()) {
                 log.accept("searcher " + address + ": malformed frame");
                 close("malformed frame");
+            } else if (!closed && frames.inFrame()) {
+                unfinished(ctx);
+            }
+        }
+
+        /**
+         * A frame that has begun. Where nothing is waited for it can only be noise, and the next answer would
+         * be taken for its rest; else it must come whole soon, since a length beyond what comes is never met.
+         */
+        private void unfinished(ChannelHandlerContext ctx) {
+            if (waiting.isEmpty() && probes.isEmpty()) {
+                close("bytes that answer nothing");
+            } else if (!frameTimed) {
+                frameTimed = true;
+                long begun = framesRead;
+                ctx.executor().schedule(() -> {
+                    frameTimed = false;
+                    if (!closed && frames.inFrame() && framesRead == begun) {
+                        log.accept("searcher " + address + ": a frame without end");
+                        close("a frame without end");
+                    } else if (!closed && frames.inFrame()) {
+                        unfinished(ctx);
+                    }
+                }, FRAME_MS, TimeUnit.MILLISECONDS);
             }
         }
 
@@ -313,11 +348,17 @@
                     if (answer == null) {
                         return "malformed answer";
                     }
-                    spent.remove(answer.id());
+                    boolean late = spent.remove(answer.id()) != null;
                     Effect.Send send = waiting.remove(answer.id());
                     if (send != null) {
                         written.remove(answer.id());
                         end(send, answer.end(), answer.report());
+                    } else if (!late && !served.contains(answer.id()) && !waiting.isEmpty()) {
+                        // Whose answer this was cannot be told, and that part would wait in vain.
+                        return "an answer to no part";
+                    }
+                    if (answer.end() instanceof AttemptEnd.Served) {
+                        remember(answer.id());
                     }
                     return null;
                 }
@@ -341,6 +382,13 @@
             }
         }
 
+        private void remember(String name) {
+            served.add(name);
+            if (served.size() > SERVED) {
+                served.remove(served.iterator().next());
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             close("connection ended");
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -40,7 +41,8 @@
     private final Clock clock = new Clock();
     private final Reducer reducer;
     private final Outlet searchers;
-    private final Watch watch;
+    private Watch watch;
+    private Watch nextWatch;
     private final List<HttpServer> servers = new ArrayList<>();
     private final Map<Long, Consumer<Reply>> replies = new HashMap<>();
     private List<Event> events = new ArrayList<>();
@@ -61,7 +63,7 @@
         this.searchers = config.search() == null ? frames : new ByKind(frames, new SearchOutlet(group,
                 config.idleMs(), config.connectTimeoutMs(), clock::now, this::event),
                 config.search().searcherKinds());
-        this.watch = config.discovery() == null ? null : new Watch(group, config.discovery(), this::event, Broker::log);
+        this.watch = config.discovery() == null ? null : watchAt(config.discovery(), () -> { });
     }
 
     /** Listens and serves; throws where an address cannot be had. */
@@ -91,6 +93,39 @@
         log("serving as " + config.name() + " on " + platform.address());
     }
 
+    private Watch watchAt(InetSocketAddress address, Runnable heard) {
+        return new Watch(group, address, this::event, Broker::log, heard);
+    }
+
+    /**
+     * Moves to the discovery address of a new configuration. The list that is had stands, and so does the old
+     * watch, until the new one has told its own; all else that a configuration says holds from a start on.
+     */
+    void reload(Config fresh) {
+        loop.execute(() -> {
+            InetSocketAddress to = fresh.discovery();
+            if (draining || watch == null || to == null) {
+                return;
+            }
+            if (nextWatch != null) {
+                nextWatch.stop();
+                nextWatch = null;
+            }
+            if (to.equals(watch.address())) {
+                log("reloaded: discovery stays at " + to);
+                return;
+            }
+            log("reloaded: moving to discovery at " + to);
+            nextWatch = watchAt(to, () -> {
+                watch.stop();
+                watch = nextWatch;
+                nextWatch = null;
+                log("discovery has moved to " + to);
+            });
+            nextWatch.start();
+        });
+    }
+
     /**
      * Goes on accepting for a while, since clients learn late; then stops listening, answers all that was
      * taken, and returns once nothing is left or the time is up.
@@ -111,6 +146,9 @@
             if (watch != null) {
                 watch.stop();
             }
+            if (nextWatch != null) {
+                nextWatch.stop();
+            }
             searchers.close();
         }).sync();
         log("stopped");
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import reeldeal.benchlink.BenchLink;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
@@ -12,6 +14,7 @@
 import reeldeal.dns.DnsServer;
 import reeldeal.store.Change;
 import reeldeal.store.Store;
+import sun.misc.Signal;
 
 /**
  * The program: {@code serve} is a broker on sockets, {@code benchlink} the simulator's adapter,
@@ -59,6 +62,7 @@
                 keep(group, store, new String(file, StandardCharsets.UTF_8));
             }
             stopInOrder(broker);
+            reloadOnHangUp(broker, dns);
             if (dns) {
                 DnsServer server = new DnsServer(group, store, storeFile.origin(), storeFile.zoneFile(), Broker::log);
                 Broker.log("dns on " + server.start(storeFile.dnsListen(),
@@ -95,6 +99,29 @@
         }));
     }
 
+    /** On SIGHUP, which would end the program, the configuration is read again; a bad one changes nothing. */
+    private static void reloadOnHangUp(Broker broker, boolean dns) {
+        try {
+            Signal.handle(new Signal("HUP"), signal -> {
+                try {
+                    byte[] file = Config.file(System.getenv());
+                    if (file == null) {
+                        Broker.log("not reloaded: LB_CONFIG: not set");
+                        return;
+                    }
+                    // The environment is that of the start: the address in the new file goes before it.
+                    Map<String, String> environment = new HashMap<>(System.getenv());
+                    environment.remove("LB_DISCOVERY");
+                    broker.reload(Config.parse(file, environment, dns));
+                } catch (Config.Invalid | RuntimeException e) {
+                    Broker.log("not reloaded: " + e.getMessage());
+                }
+            });
+        } catch (IllegalArgumentException e) {
+            Broker.log("SIGHUP is not to be had: " + e.getMessage());
+        }
+    }
+
     /** On SIGTERM the broker ends in order; that is status 0, not the signal's. */
     private static void stopInOrder(Broker broker) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/test/java/reeldeal/serve/Discovery.java
+++ b/src/test/java/reeldeal/serve/Discovery.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A stand-in for discovery: the whole list, and a watch that waits for changes. */
 final class Discovery implements AutoCloseable {
@@ -18,12 +20,14 @@
     private String nextReply;
     private int heardUpTo;
     private int wholeAsked;
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
 
     Discovery() throws IOException {
         Thread t = new Thread(() -> {
             try {
                 while (true) {
                     Socket s = server.accept();
+                    open.add(s);
                     Thread each = new Thread(() -> serve(s));
                     each.setDaemon(true);
                     each.start();
@@ -113,6 +117,14 @@
         }
     }
 
+    /** Takes no new connection and closes the open ones. */
+    void end() throws IOException {
+        server.close();
+        for (Socket s : open) {
+            s.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -24,6 +24,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -79,7 +80,7 @@
     private final Map<String, String> kept = new HashMap<>();
     private final Map<String, Integer> partsSent = new HashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private Discovery discovery;
     private Process program;
     private Path folder;
@@ -167,16 +168,40 @@
             case "wait" -> Thread.sleep(Integer.parseInt(words[1]));
             case "sent" -> assertEquals(rest, String.valueOf(partsSent.getOrDefault(words[1], 0)));
             case "term" -> program.destroy();
+            case "hup" -> hup();
+            case "config" -> Files.writeString(folder.resolve("config.json"),
+                    Files.readString(folder.resolve("config.json")).replace(words[1], rest));
+            case "discovery-moves" -> {
+                Discovery old = discovery;
+                discovery = new Discovery();
+                String config = Files.readString(folder.resolve("config.json"));
+                Files.writeString(folder.resolve("config.json"), config.replace(
+                        "127.0.0.1:" + old.server.getLocalPort(), "127.0.0.1:" + discovery.server.getLocalPort()));
+                hup();
+                awaitLog("reloaded: moving to discovery");
+                old.end();
+            }
             case "exit" -> {
                 assertTrue("still runs", program.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS));
                 assertEquals(Integer.parseInt(words[1]), program.exitValue());
             }
-            case "logged" -> assertTrue(String.join("\n", log).contains(words[1]
-                    + (rest.isEmpty() ? "" : " " + rest)));
+            case "logged" -> awaitLog(words[1] + (rest.isEmpty() ? "" : " " + rest));
             default -> exchange(words[0], words[1], rest);
         }
     }
 
+    private void hup() throws Exception {
+        assertEquals(0, new ProcessBuilder("/bin/kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    }
+
+    private void awaitLog(String words) throws InterruptedException {
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (!String.join("\n", log).contains(words) && System.nanoTime() < until) {
+            Thread.sleep(10);
+        }
+        assertTrue(String.join("\n", log).contains(words));
+    }
+
     private void searcher(String name, String options) throws IOException {
         ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         boolean frames = !options.contains("search");
@@ -277,6 +302,7 @@
                     compare(halves[1], HexFormat.of().formatHex(got.getData(), 0, got.getLength()));
                 }
             }
+            case "bytes" -> party.socket.getOutputStream().write(Wire.bytes(rest));
             case "hex" -> party.socket.getOutputStream().write(Wire.hex(rest));
             case "raw" -> party.socket.getOutputStream().write(rest.getBytes(StandardCharsets.UTF_8));
             case "accept" -> {
--- a/src/test/java/reeldeal/serve/Wire.java
+++ b/src/test/java/reeldeal/serve/Wire.java
@@ -83,12 +83,18 @@
 
     /** Such a message from hexadecimal in which quotes hold text. */
     static byte[] hex(String text) {
+        byte[] all = bytes(text);
+        return ByteBuffer.allocate(2 + all.length).putShort((short) all.length).put(all).array();
+    }
+
+    /** Bytes from hexadecimal in which quotes hold text. */
+    static byte[] bytes(String text) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String[] pieces = text.split("\"", -1);
         for (int i = 0; i < pieces.length; i++) {
             out.writeBytes(i % 2 == 1 ? pieces[i].getBytes(StandardCharsets.ISO_8859_1)
                     : HexFormat.of().parseHex(pieces[i].replace(" ", "")));
         }
-        return ByteBuffer.allocate(2 + out.size()).putShort((short) out.size()).put(out.toByteArray()).array();
+        return out.toByteArray();
     }
 }
