--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -61,7 +61,7 @@
 
         Leaf(long id, boolean trusted) {
             this.id = id;
-            this.leftAt = Double.POSITIVE_INFINITY;
+            this.leftAt = Double.MAX_VALUE;
             this.trusted = trusted;
         }
     }
@@ -204,7 +204,7 @@
             // Told to drain or gone: nothing new from this moment on; the grace period is not used.
             leaf.ready = s.listed() == Listed.READY;
         }
-        leaves.values().forEach(l -> l.leftAt = l.ready ? Double.POSITIVE_INFINITY : Math.min(l.leftAt, clock));
+        leaves.values().forEach(l -> l.leftAt = l.ready ? Double.MAX_VALUE : Math.min(l.leftAt, clock));
         // One that may yet come back keeps its record for a while; new ones come all day, so none for good.
         leaves.values().removeIf(l -> l.out.isEmpty() && l.leftAt + rules.coldMs() < clock);
         cells.forEach(List::clear);
