--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -33,14 +33,15 @@
     private static final double FADE = 3; // aims with which evidence on a server fades
     /** Weight of one answer in averages: a server's, the same where its evidence is stale, the fleet's. */
     private static final double SERVER_GAIN = 0.3, STALE_GAIN = 0.5, FLEET_GAIN = 0.03;
+    private static final double GAP_GAIN = 0.1; // of one time between two answers, in a server's average
+    private static final double UNSENT_SHARE = 0.5; // of a client's time, after which nothing unsent is held
     private static final double FIRST_GUESS = 0.2; // of the aim: typical time before any answer has come
     private static final double COLD_CARE = 0.7; // of a cold server's stated budget, for lumps and peers
-    private static final double SHED_AT = 0.8; // of the time left: wait from which queries are refused
+    private static final double SHED_AT = 0.5; // of the time left: wait from which queries are refused
     private static final double OVER_SHARE_AT = 0.4; // of that wait, for queries beyond a tenant's share
     private static final double LATE_MATTERS = 0.2; // worth of a late answer from which it is waited for
     private static final double FULL_FROM = 0.4; // of what a root may hold: it waits for no late answer
     private static final double FILL = 8; // where less than one in so many is left, the wait is cut with it
-    private static final double NARROW = 0.7; // of the parts out: what a query that ends unserved leaves
     private static final double MARGIN_TURNS = 3; // before a time limit the final answer is given
     private static final double REST = 0.5; // typical times that a full or unreachable server rests
     private static final double REVIEW_TURNS = 4; // between two looks at a query that waits
@@ -56,6 +57,7 @@
         int goodInRow, ejections, calls;
         double slowness = 1, pace = 1, lateness = 1;
         double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
+        double gap, servedAt, busyFrom;
         Call open;
         final List<Attempt> out = new ArrayList<>();
 
@@ -115,7 +117,7 @@
         final int token;
         final List<PartState> all = new ArrayList<>();
         List<PartState> step = new ArrayList<>();
-        double weightIn, begun, softAt, endAt;
+        double weightIn, begun, softAt, endAt, unsentEndAt;
         int partsIn;
         double mostInAfter = Double.POSITIVE_INFINITY, armedAt = Double.POSITIVE_INFINITY;
         boolean firstWhole, secondStep, ended;
@@ -152,7 +154,7 @@
     private final double[] typical, tenantLevel, tenantAt;
     private double takenCount, clock, sound = 1, pacesAt = -1;
     private double queryGap, queryAt, nextTrial;
-    private double doneUnits, doneAt, meanDensity, logAt, window;
+    private double doneUnits, doneAt, meanDensity, logAt;
     private int partsOut, held, nextToken = 1;
     private boolean shedding, spent, stall;
 
@@ -174,7 +176,6 @@
         for (int i = 0; i < settings.layout().cells(); i++) {
             cells.add(new ArrayList<>());
         }
-        window = settings.limits().maxHeld();
         doneAt = queryAt = logAt = now;
         if (settings.listOnRequest()) {
             actions.subscribe();
@@ -470,6 +471,7 @@
         }
         Attempt a = new Attempt(p, leaf);
         leaf.open.live++;
+        leaf.busyFrom = leaf.out.isEmpty() ? clock : leaf.busyFrom;
         p.attempts.add(a);
         p.live++;
         partsOut++;
@@ -539,7 +541,8 @@
         // A root that is filling up would be cut off from its clients by queries that earn little.
         boolean enough = q.floorIn()
                 || held > FULL_FROM * settings.limits().maxHeld();
-        if (clock >= q.endAt || clock >= q.softAt && enough || lost(q)) {
+        if (clock >= q.endAt || clock >= q.softAt && enough || clock >= q.unsentEndAt && unsent(q)
+                || lost(q)) {
             finish(q);
             return;
         }
@@ -568,6 +571,11 @@
         arm(q);
     }
 
+    /** Whether no attempt went out: its client is told while there is time to ask elsewhere. */
+    private static boolean unsent(QueryState q) {
+        return q.all.stream().allMatch(p -> p.live == 0 && p.provenUnrun());
+    }
+
     /**
      * Whether what can still come is not enough, or nothing can still come. Guards against holding room for
      * queries that are lost; their clients may try again in time.
@@ -606,6 +614,7 @@
 
     private void arm(QueryState q) {
         double next = q.softAt > clock ? q.softAt : q.endAt;
+        next = Math.min(next, q.unsentEndAt > clock ? q.unsentEndAt : Double.MAX_VALUE);
         next = Math.min(next, clock + REVIEW_TURNS * settings.turnMs());
         if (q.armedAt > next) {
             q.armedAt = next;
@@ -631,6 +640,9 @@
             typicalSeen[i]++;
             typical[i] += (sample - typical[i]) * Math.max(FLEET_GAIN, 1.0 / typicalSeen[i]);
             completed(i == 0 ? 1 + callUnits() : 1);
+            double since = clock - Math.max(leaf.servedAt, leaf.busyFrom);
+            leaf.gap = leaf.gap == 0 ? since : leaf.gap + (since - leaf.gap) * GAP_GAIN;
+            leaf.servedAt = clock;
         } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) {
             ratio = Math.max(ratio, faded(leaf));
         } else {
@@ -757,11 +769,7 @@
      * a server that has just started, also by very many roots.
      */
     private double credit(Leaf leaf) {
-        double age = Math.max(0, clock - leaf.listed.startedMs());
-        double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / rules.coldMs());
-        long warm = leaves.values().stream().filter(l -> l.ready && !cold(l)).count();
-        completed(0);
-        double rate = COLD_CARE * rules.fallMultiple() * ramp * doneUnits / (2 * aim) / Math.max(1, warm);
+        double rate = creditRate(leaf);
         if (leaf.creditAt < leaf.listed.startedMs()) {
             leaf.credit = (1 + callUnits()) * (mix(settings.seed() ^ mix(leaf.id)) >>> 11) * 0x1.0p-53;
             leaf.creditAt = clock;
@@ -772,6 +780,14 @@
         return leaf.credit;
     }
 
+    private double creditRate(Leaf leaf) {
+        double age = Math.max(0, clock - leaf.listed.startedMs());
+        double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / rules.coldMs());
+        long warm = leaves.values().stream().filter(l -> l.ready && !cold(l)).count();
+        completed(0);
+        return COLD_CARE * rules.fallMultiple() * ramp * doneUnits / (2 * aim) / Math.max(1, warm);
+    }
+
     // ---- admission ----
 
     /** Adds to the decayed count of finished work, in parts; a call's own work counts as a part. */
@@ -796,6 +812,7 @@
         double hard = q.told.giveUpAtMs() - margin;
         q.endAt = q.klass.lateWorth() >= LATE_MATTERS ? hard : Math.min(hard, q.softAt);
         q.softAt = Math.min(q.softAt, hard);
+        q.unsentEndAt = clock + UNSENT_SHARE * (q.told.giveUpAtMs() - clock) - margin;
     }
 
     private static long signature(QueryState q) {
@@ -814,19 +831,18 @@
      */
     private boolean admitted(QueryState q) {
         boolean over = overShare(q.told.tenant());
-        double density = q.klass.worth() / (q.step.size() + 1);
+        double density = q.klass.worth();
         meanDensity += (density - meanDensity) * (meanDensity == 0 ? 1 : FLEET_GAIN);
         if (q.endAt - clock < typicalTime(0)) {
             return false;
         }
         freshPaces();
-        double wait = Math.max(sound, needed(q)) * typicalTime(0);
-        double rank = Math.max(0.8, Math.min(1.3, density / meanDensity));
+        double wait = Math.max(sound * typicalTime(0), needed(q));
+        double rank = Math.max(0.7, Math.min(1.5, density / meanDensity));
         // A root that fills up takes what passes quickly or earns in part: full, it drops clients unseen.
         double room = q.partial() ? 1 : Math.min(1, FILL * (1 - (double) held / settings.limits().maxHeld()));
-        // Where no copy can help a late part, a root has no more out at once than lately ended in time.
         boolean admit = wait <= SHED_AT * rank * room * (over ? OVER_SHARE_AT : 1) * (q.softAt - clock)
-                && (settings.limits().secondCopies() || partsOut <= window) || partsOut <= typical.length;
+;
         if (admit == shedding && !over) {
             shedding = !admit;
             log(shedding ? "shedding begins" : "shedding ends");
@@ -840,7 +856,7 @@
         for (PartState p : q.step) {
             double least = Double.POSITIVE_INFINITY;
             for (Leaf leaf : holders(p)) {
-                least = Math.min(least, leaf.lateness);
+                least = Math.min(least, wait(leaf));
             }
             waits.add(new double[] {least, p.told.weight()});
         }
@@ -855,6 +871,23 @@
         return 0;
     }
 
+    /** When a part sent now would be answered: by what was seen last, and by what is out ahead of it. */
+    private double wait(Leaf leaf) {
+        double gap = leaf.gap > 0 || typicalSeen[0] == 0 ? leaf.gap : typicalTime(0);
+        double wait = Math.max(leaf.lateness * typicalTime(0), leaf.out.size() * gap);
+        if (cold(leaf)) {
+            double units = (1 + callUnits()) * (1 + waiting(leaf.listed.cell()));
+            wait += Math.max(0, units - credit(leaf)) / Math.max(1e-6, creditRate(leaf));
+        }
+        return wait + Math.max(0, leaf.restsUntil - clock);
+    }
+
+    /** Parts that wait for a holder which may take them. */
+    private long waiting(int cell) {
+        return queries.values().stream().flatMap(q -> q.step.stream()).filter(p -> !p.done && p.live == 0
+                && Math.floorMod(p.told.shard(), cells.size()) == cell).count();
+    }
+
     private boolean overShare(int tenant) {
         if (tenant < 0 || tenant >= tenantLevel.length) {
             return false;
@@ -887,7 +920,6 @@
             return;
         }
         actions.answer(q.told.id(), whole);
-        window = Math.min(settings.limits().maxHeld(), window + (clock > q.softAt ? 0 : q.step.size()));
         if (q.klass.secondStep() == 0 || q.secondStep) {
             end(q);
             return;
@@ -906,7 +938,6 @@
             answer(q);
             return;
         }
-        window = Math.max(1, Math.min(window, partsOut) * NARROW);
         boolean mayHaveRun = q.klass.effect() == Effect.UNSAFE
                 && q.all.stream().anyMatch(p -> !p.provenUnrun());
         if (mayHaveRun) {
