--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -37,7 +37,7 @@
     private static final double UNSENT_SHARE = 0.5; // of a client's time, after which nothing unsent is held
     private static final double FIRST_GUESS = 0.2; // of the aim: typical time before any answer has come
     private static final double COLD_CARE = 0.7; // of a cold server's stated budget, for lumps and peers
-    private static final double SHED_AT = 0.5; // of the time left: wait from which queries are refused
+    private static final double SHED_AT = 0.65; // of the time left: wait from which queries are refused
     private static final double OVER_SHARE_AT = 0.4; // of that wait, for queries beyond a tenant's share
     private static final double LATE_MATTERS = 0.2; // worth of a late answer from which it is waited for
     private static final double FULL_FROM = 0.4; // of what a root may hold: it waits for no late answer
@@ -53,7 +53,7 @@
     private static final class Leaf {
         final long id;
         Server listed;
-        boolean ready, trusted;
+        boolean ready, trusted, silent;
         int goodInRow, ejections, calls;
         double slowness = 1, pace = 1, lateness = 1;
         double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
@@ -420,6 +420,11 @@
         able.removeIf(l -> room(l) == 0 || l.restsUntil > clock
                 || p.attempts.stream().anyMatch(a -> !a.ended && a.leaf == l));
         keep(able, able.stream().filter(l -> p.attempts.stream().noneMatch(a -> a.leaf == l)).toList());
+        // What has more out than it can answer in time gets nothing while a fellow, if only soon, can take it.
+        double inTime = SHED_AT * Math.min(p.query.softAt - clock, aim);
+        if (holders(p).stream().anyMatch(l -> wait(l) <= inTime)) {
+            able.removeIf(l -> wait(l) > inTime);
+        }
         // Half-open: a server on trial holds one call at a time and no unsafe part, while others can serve.
         boolean once = p.query.klass.effect() == Effect.UNSAFE;
         keep(able, able.stream().filter(l -> l.trusted || !once && mayTry(l)).toList());
@@ -641,10 +646,14 @@
             typical[i] += (sample - typical[i]) * Math.max(FLEET_GAIN, 1.0 / typicalSeen[i]);
             completed(i == 0 ? 1 + callUnits() : 1);
             double since = clock - Math.max(leaf.servedAt, leaf.busyFrom);
-            leaf.gap = leaf.gap == 0 ? since : leaf.gap + (since - leaf.gap) * GAP_GAIN;
+            if (!leaf.out.isEmpty()) {
+                leaf.gap = leaf.gap == 0 ? since : leaf.gap + (since - leaf.gap) * GAP_GAIN;
+            }
             leaf.servedAt = clock;
+            leaf.silent = false;
         } else if (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) {
             ratio = Math.max(ratio, faded(leaf));
+            leaf.silent |= leaf.servedAt < a.at;
         } else {
             ratio = Math.max(ratio, FAILED_AS);
             // Backpressure: at once again, parts would burn their attempts on what is full or down.
@@ -702,9 +711,13 @@
             }
         }
         all.sort(null);
-        sound = all.isEmpty() ? 1 : Math.max(0.7, all.get(all.size() / 2));
+        sound = all.isEmpty() ? 1 : Math.max(0.7, all.get((all.size() - 1) / 4));
         for (Leaf leaf : leaves.values()) {
-            double alike = Math.max(sound, peersLateness(leaf));
+            // One that answers nothing at all is no part of its shard's jam, whatever its fellows do.
+            double quiet = clock - Math.max(leaf.servedAt, leaf.busyFrom);
+            boolean silent = leaf.silent || !leaf.out.isEmpty() && !stall
+                    && quiet > OUTLIER * Math.max(typicalTime(0), leaf.gap);
+            double alike = silent ? sound : Math.max(sound, peersLateness(leaf));
             leaf.pace /= alike;
             if (leaf.pace < OUTLIER) {
                 leaf.pace = 1;
@@ -841,8 +854,8 @@
         double rank = Math.max(0.7, Math.min(1.5, density / meanDensity));
         // A root that fills up takes what passes quickly or earns in part: full, it drops clients unseen.
         double room = q.partial() ? 1 : Math.min(1, FILL * (1 - (double) held / settings.limits().maxHeld()));
-        boolean admit = wait <= SHED_AT * rank * room * (over ? OVER_SHARE_AT : 1) * (q.softAt - clock)
-;
+        boolean admit = wait <= SHED_AT * rank * room * (over ? OVER_SHARE_AT : 1)
+                * Math.min(q.softAt - clock, aim);
         if (admit == shedding && !over) {
             shedding = !admit;
             log(shedding ? "shedding begins" : "shedding ends");
@@ -873,10 +886,10 @@
 
     /** When a part sent now would be answered: by what was seen last, and by what is out ahead of it. */
     private double wait(Leaf leaf) {
-        double gap = leaf.gap > 0 || typicalSeen[0] == 0 ? leaf.gap : typicalTime(0);
+        double gap = leaf.gap > 0 || typicalSeen[0] == 0 ? leaf.gap : typicalTime(0) / 2;
         double wait = Math.max(leaf.lateness * typicalTime(0), leaf.out.size() * gap);
         if (cold(leaf)) {
-            double units = (1 + callUnits()) * (1 + waiting(leaf.listed.cell()));
+            double units = (1 + callUnits()) * Math.max(1, waiting(leaf.listed.cell()));
             wait += Math.max(0, units - credit(leaf)) / Math.max(1e-6, creditRate(leaf));
         }
         return wait + Math.max(0, leaf.restsUntil - clock);
