--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -420,7 +420,7 @@
         able.removeIf(l -> room(l) == 0 || l.restsUntil > clock
                 || p.attempts.stream().anyMatch(a -> !a.ended && a.leaf == l));
         keep(able, able.stream().filter(l -> p.attempts.stream().noneMatch(a -> a.leaf == l)).toList());
-        // What has more out than it can answer in time gets nothing while a fellow, if only soon, can take it.
+        // What has more out than it can answer in time gets nothing while a fellow can, if only soon.
         double inTime = SHED_AT * Math.min(p.query.softAt - clock, aim);
         if (holders(p).stream().anyMatch(l -> wait(l) <= inTime)) {
             able.removeIf(l -> wait(l) > inTime);
