--- a/src/main/java/reeldeal/core/Request.java
+++ b/src/main/java/reeldeal/core/Request.java
@@ -9,6 +9,11 @@
 public record Request(long id, String name, int klass, String idempotencyKey, double giveUpAt, boolean retry,
         String text, List<Piece> pieces) {
 
+    /** The same request, given up at this time at the latest. */
+    public Request until(double latest) {
+        return new Request(id, name, klass, idempotencyKey, Math.min(giveUpAt, latest), retry, text, pieces);
+    }
+
     /** One part of the query as the client named it. */
     public record Piece(int shard, double weight, long key) { }
 }
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -116,15 +116,14 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** From now on each response ends its connection. */
-    public void announceClose() {
-        closing = true;
+    /** Stops accepting; the connections that are open are served on. */
+    public void stopListening() {
+        listener.close();
     }
 
-    /** Stops accepting and closes the connections on which nothing is asked. */
-    public void stopListening() {
+    /** Closes the connections on which nothing is asked; from now on each response ends its connection. */
+    public void stopServing() {
         closing = true;
-        listener.close();
         for (Connection c : Set.copyOf(connections)) {
             if (c.current == null && !c.parser.inMessage()) {
                 c.context.close();
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -32,6 +32,9 @@
  */
 public final class Broker implements Port {
     private static final double DRAIN_ACCEPT_MS = 500;
+    private static final double DRAIN_SERVE_MS = 2_900; // for which connections that are open are served
+    private static final double DRAIN_LATE_MS = 600; // what comes later than this ...
+    private static final double DRAIN_END_MS = 3_400; // ... is answered by then: a kill is 3.7 s away at least
     private static final long MAX_UNREAD = 8L << 20; // bytes of messages being read, for each front
     private static final int SWEEP_MS = 1_000;
 
@@ -50,7 +53,7 @@
     private double lastTurn = Double.NEGATIVE_INFINITY;
     private long nextRequest = 1;
     private boolean ready;
-    private boolean draining;
+    private volatile double drainBegan = Double.POSITIVE_INFINITY;
 
     public Broker(EventLoopGroup group, Config config) {
         this.group = group;
@@ -104,7 +107,7 @@
     void reload(Config fresh) {
         loop.execute(() -> {
             InetSocketAddress to = fresh.discovery();
-            if (draining || watch == null || to == null) {
+            if (watch == null || to == null) {
                 return;
             }
             if (nextWatch != null) {
@@ -127,18 +130,21 @@
     }
 
     /**
-     * Goes on accepting for a while, since clients learn late; then stops listening, answers all that was
-     * taken, and returns once nothing is left or the time is up.
+     * Goes on accepting for a while, since clients learn late, and for longer on serving the connections that
+     * clients have: another broker may be down just then. What comes late gets less time than its client
+     * would give, so that all is answered before the broker may be killed. Returns once nothing is left.
      */
     public void drain() throws InterruptedException {
         double longest = config.settings().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
-        double until = clock.now() + Math.max(longest, 3_000) + 600;
-        loop.submit(() -> {
-            draining = true;
-            servers.forEach(HttpServer::announceClose);
-        }).sync();
+        double began = clock.now();
+        double until = began + Math.max(longest, 3_000) + 600;
+        drainBegan = began;
         Thread.sleep((long) DRAIN_ACCEPT_MS);
         loop.submit(() -> servers.forEach(HttpServer::stopListening)).sync();
+        while (clock.now() < began + DRAIN_SERVE_MS && !loop.submit(this::idle).sync().getNow()) {
+            Thread.sleep(10);
+        }
+        loop.submit(() -> servers.forEach(HttpServer::stopServing)).sync();
         while (clock.now() < until && !loop.submit(this::idle).sync().getNow()) {
             Thread.sleep(10);
         }
@@ -188,7 +194,8 @@
     @Override
     public void submit(Request request, Consumer<Reply> reply) {
         replies.put(request.id(), reply);
-        event(new Event.Arrived(request));
+        boolean late = clock.now() > drainBegan + DRAIN_LATE_MS;
+        event(new Event.Arrived(late ? request.until(drainBegan + DRAIN_END_MS) : request));
     }
 
     @Override
@@ -205,7 +212,7 @@
 
     @Override
     public boolean ready() {
-        return ready && !draining;
+        return ready && drainBegan == Double.POSITIVE_INFINITY;
     }
 
     // ---- turns ----
