--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -53,7 +53,7 @@
     private static final class Leaf {
         final long id;
         Server listed;
-        boolean ready, trusted, silent;
+        boolean ready, trusted, silent, quiet; // silent: what it was sent last came to nothing
         int goodInRow, ejections, calls;
         double slowness = 1, pace = 1, lateness = 1;
         double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
@@ -657,6 +657,7 @@
         } else {
             ratio = Math.max(ratio, FAILED_AS);
             // Backpressure: at once again, parts would burn their attempts on what is full or down.
+            leaf.silent |= leaf.servedAt < a.at && outcome != Outcome.FULL;
             leaf.restsUntil = outcome == Outcome.ERROR ? 0 : clock + REST * typicalTime(0);
         }
         // The older the last evidence, the more the new one weighs: one of many roots meets a server seldom.
@@ -702,26 +703,27 @@
         pacesAt = clock;
         List<Double> all = new ArrayList<>();
         for (Leaf leaf : leaves.values()) {
-            double silent = leaf.out.isEmpty() || stall ? 0
+            double waited = leaf.out.isEmpty() || stall ? 0
                     : (clock - leaf.out.get(0).at) / typicalTime(leaf.out.get(0).place) / SILENCE;
-            leaf.lateness = Math.max(faded(leaf), silent);
+            leaf.lateness = Math.max(faded(leaf), waited);
             leaf.pace = leaf.lateness;
-            if (leaf.ready) {
+            double quiet = clock - Math.max(leaf.servedAt, leaf.busyFrom);
+            leaf.quiet = leaf.silent || !leaf.out.isEmpty() && !stall
+                    && quiet > OUTLIER * Math.max(typicalTime(0), leaf.gap);
+            if (leaf.ready && !leaf.quiet) {
                 all.add(leaf.pace);
             }
         }
         all.sort(null);
-        sound = all.isEmpty() ? 1 : Math.max(0.7, all.get((all.size() - 1) / 4));
+        sound = all.isEmpty() ? 1 : Math.max(0.7, all.get(all.size() / 2));
         for (Leaf leaf : leaves.values()) {
             // One that answers nothing at all is no part of its shard's jam, whatever its fellows do.
-            double quiet = clock - Math.max(leaf.servedAt, leaf.busyFrom);
-            boolean silent = leaf.silent || !leaf.out.isEmpty() && !stall
-                    && quiet > OUTLIER * Math.max(typicalTime(0), leaf.gap);
-            double alike = silent ? sound : Math.max(sound, peersLateness(leaf));
+            double alike = leaf.quiet ? sound : Math.max(sound, peersLateness(leaf));
             leaf.pace /= alike;
             if (leaf.pace < OUTLIER) {
                 leaf.pace = 1;
-            } else if (leaf.trusted && faded(leaf) / alike >= OUTLIER) {
+            } else if (leaf.trusted && leaf.quiet && faded(leaf) / alike >= OUTLIER) {
+                // A slow one is given less by its pace, and nothing that it would not answer in time.
                 eject(leaf);
                 log("server " + leaf.id + " ejected");
             }
@@ -855,7 +857,7 @@
         // A root that fills up takes what passes quickly or earns in part: full, it drops clients unseen.
         double room = q.partial() ? 1 : Math.min(1, FILL * (1 - (double) held / settings.limits().maxHeld()));
         boolean admit = wait <= SHED_AT * rank * room * (over ? OVER_SHARE_AT : 1)
-                * Math.min(q.softAt - clock, aim);
+                * Math.min(q.softAt - clock, aim) || queries.size() == 1;
         if (admit == shedding && !over) {
             shedding = !admit;
             log(shedding ? "shedding begins" : "shedding ends");
--- a/src/test/java/reeldeal/decide/FailureTest.java
+++ b/src/test/java/reeldeal/decide/FailureTest.java
@@ -392,4 +392,32 @@
         bed.pass(400);
         assertEquals(1, bed.sends(14).get(0).server());
     }
+
+    @Test
+    void slowServersThatAnswerAreNotLeftOutAndOneThatFailsIs() {
+        Bed bed = warm();
+        bed.secondCopies = false;
+        bed.ask(1, 0);
+        long bad = bed.sends(1).get(0).server();
+        bed.pass(500);
+        bed.done(100, 0, Outcome.OK, 500);
+        bed.pass(1500);
+        for (int q = 2; q <= 6; q++) {
+            bed.ask(q, 0);
+            bed.pass(450);
+            for (Bed.Sent s : bed.sends(q)) {
+                bed.done(s.part(), s.number(), Outcome.OK, s.server() == bad ? 450 : 100);
+            }
+        }
+        assertEquals(List.of(), bed.lines.stream().filter(l -> l.contains("ejected")).toList());
+        for (int q = 7; q <= 30; q++) {
+            bed.ask(q, 0);
+            for (Bed.Sent s : bed.sends(q)) {
+                bed.done(s.part(), s.number(), s.server() == bad ? Outcome.RESET : Outcome.OK, 100);
+            }
+            bed.pass(400);
+        }
+        assertEquals(List.of("server " + bad + " ejected"),
+                bed.lines.stream().filter(l -> l.contains("ejected")).toList());
+    }
 }
