--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -112,6 +112,11 @@
         return open.size();
     }
 
+    /** Searchers, and names of requests, that are remembered. */
+    int remembered() {
+        return searchers.size() + ids.size() + names.size();
+    }
+
     /** A fault on one event must not take the others with it: each request still has its deadline's answer. */
     private void guarded(Event event) {
         try {
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -252,6 +252,11 @@
         }
     }
 
+    /** Servers that are remembered. */
+    int remembered() {
+        return leaves.size();
+    }
+
     private void addParts(QueryState q, List<Part> given) {
         for (Part part : given) {
             PartState p = new PartState(part, q);
@@ -525,13 +530,14 @@
 
     /**
      * Overdue at an outlier, or in a query's tail: much later than most of its own parts were. That judges
-     * where a root meets each server too seldom to know it, and stays quiet where all are slow.
+     * where a root meets each server too seldom to know it, and stays quiet where all holders are alike.
      */
     private boolean overdue(Attempt a) {
         double waited = clock - a.at;
         boolean copies = settings.limits().secondCopies();
         return waited > HEDGE * typicalTime(a.place) * Math.max(1, sound)
-                && (a.leaf.pace > 1 || copies && waited > TAIL_WAIT * a.part.query.mostInAfter);
+                && (a.leaf.pace > 1 && holders(a.part).stream().anyMatch(l -> l.pace < a.leaf.pace)
+                || copies && waited > TAIL_WAIT * a.part.query.mostInAfter);
     }
 
     /** Sends what is unsent, failed or overdue, or ends the query when its time has come. */
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -136,6 +136,11 @@
         return heldBytes;
     }
 
+    /** Messages of which a part has come, or which wait for their answer. */
+    int messagesBegun() {
+        return (int) connections.stream().filter(c -> c.current != null || c.parser.inMessage()).count();
+    }
+
     /** Connections that are open. */
     public int openConnections() {
         return connections.size();
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -47,6 +47,21 @@
 
     private record Key(long part, int attempt) { }
 
+    /** A part that is out on a connection: when it was handed to the socket, and whether that took it whole. */
+    private static final class Out {
+        final Effect.Send send;
+        double handedAt = Double.POSITIVE_INFINITY;
+        boolean written;
+
+        Out(Effect.Send send) {
+            this.send = send;
+        }
+
+        Reach reach() {
+            return written ? Reach.SENT : Reach.UNSENT;
+        }
+    }
+
     private record ProbeOut(Searcher searcher, double at) { }
 
     private final EventLoopGroup group;
@@ -161,8 +176,7 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final String address;
         private final FrameBuffer frames = new FrameBuffer(4, Frames.MAX_FRAME);
-        private final Map<String, Effect.Send> waiting = new LinkedHashMap<>();
-        private final Map<String, Boolean> written = new HashMap<>();
+        private final Map<String, Out> waiting = new LinkedHashMap<>();
         private final List<List<Effect.Send>> queued = new ArrayList<>();
         private final Map<String, Double> spent = new LinkedHashMap<>();
         private final Set<String> served = new LinkedHashSet<>();
@@ -173,6 +187,7 @@
         private long framesRead;
         private boolean frameTimed;
         private double usedAt = clock.getAsDouble();
+        private double readAt = Double.NEGATIVE_INFINITY;
 
         Connection(String address) {
             this.address = address;
@@ -203,7 +218,7 @@
         void take(List<Effect.Send> sends) {
             usedAt = clock.getAsDouble();
             for (Effect.Send send : sends) {
-                waiting.put(Frames.partName(send), send);
+                waiting.put(Frames.partName(send), new Out(send));
                 out.put(new Key(send.part(), send.attempt()), this);
             }
             if (up) {
@@ -214,38 +229,40 @@
         }
 
         private void write(List<Effect.Send> sends) {
-            channel.writeAndFlush(Frames.call(sends)).addListener(f -> {
-                if (f.isSuccess()) {
-                    // One that has ended meanwhile is of no more interest, and would stay for good.
-                    sends.stream().filter(s -> waiting.get(Frames.partName(s)) == s)
-                            .forEach(s -> written.put(Frames.partName(s), true));
-                }
-            });
-        }
-
-        private Reach reach(String name) {
-            return written.containsKey(name) ? Reach.SENT : Reach.UNSENT;
+            List<Out> outs = sends.stream().map(s -> waiting.get(Frames.partName(s))).toList();
+            outs.forEach(o -> o.handedAt = clock.getAsDouble());
+            channel.writeAndFlush(Frames.call(sends)).addListener(f -> outs.forEach(o -> o.written |= f.isSuccess()));
         }
 
         void abandon(Effect.Abandon abandon) {
-            for (Effect.Send send : List.copyOf(waiting.values())) {
+            for (Out out : List.copyOf(waiting.values())) {
+                Effect.Send send = out.send;
                 if (send.part() == abandon.part() && send.attempt() == abandon.attempt()) {
                     String name = Frames.partName(send);
                     boolean unsent = queued.stream().anyMatch(q -> q.remove(send));
                     waiting.remove(name);
-                    if (!unsent) {
-                        // What lies half written may still run: only what was never handed over is unsent.
-                        written.remove(name);
+                    // What lies half written may still run: only what was never handed over is unsent.
+                    end(send, new AttemptEnd.Abandoned(unsent ? Reach.UNSENT : Reach.SENT, abandon.timedOut()),
+                            "-");
+                    if (!unsent && readAt < out.handedAt) {
+                        // Nothing has come since: this way may be dead though its searcher lives. Word of the
+                        // end might lie unread behind the call, and both be read when another attempt is out.
+                        reset("silent");
+                    } else if (!unsent) {
                         spent.put(name, clock.getAsDouble());
                         channel.writeAndFlush(Frames.frame('X', name.getBytes(StandardCharsets.UTF_8)));
                     }
-                    end(send, new AttemptEnd.Abandoned(unsent ? Reach.UNSENT : Reach.SENT, abandon.timedOut()),
-                            "-");
                     return;
                 }
             }
         }
 
+        /** Ends the connection at once, what is not yet sent on it included. */
+        private void reset(String why) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            close(why);
+        }
+
         void halt() {
             List<List<Effect.Send>> unsent = List.copyOf(queued);
             queued.clear();
@@ -256,8 +273,8 @@
                 }
             }
             // A call that the socket has not taken yet would start later: the connection goes with it.
-            if (up && waiting.keySet().stream().anyMatch(name -> !written.containsKey(name))) {
-                close("searcher drains");
+            if (up && waiting.values().stream().anyMatch(o -> !o.written)) {
+                reset("searcher drains");
             }
         }
 
@@ -301,7 +318,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             frames.feed((ByteBuf) message);
-            usedAt = clock.getAsDouble();
+            usedAt = readAt = clock.getAsDouble();
             for (byte[] f = frames.next(); f != null && !closed; f = frames.next()) {
                 framesRead++;
                 String bad = frame(f);
@@ -349,10 +366,9 @@
                         return "malformed answer";
                     }
                     boolean late = spent.remove(answer.id()) != null;
-                    Effect.Send send = waiting.remove(answer.id());
-                    if (send != null) {
-                        written.remove(answer.id());
-                        end(send, answer.end(), answer.report());
+                    Out out = waiting.remove(answer.id());
+                    if (out != null) {
+                        end(out.send, answer.end(), answer.report());
                     } else if (!late && !served.contains(answer.id()) && !waiting.isEmpty()) {
                         // Whose answer this was cannot be told, and that part would wait in vain.
                         return "an answer to no part";
@@ -411,8 +427,8 @@
                 byAddress.remove(address);
             }
             channel.close();
-            for (Map.Entry<String, Effect.Send> e : List.copyOf(waiting.entrySet())) {
-                end(e.getValue(), new AttemptEnd.Broken(reach(e.getKey()), why), "-");
+            for (Out out : List.copyOf(waiting.values())) {
+                end(out.send, new AttemptEnd.Broken(out.reach(), why), "-");
             }
             waiting.clear();
             for (ProbeOut p : probes) {
--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -103,4 +103,47 @@
         play(new Event.TimerDue(1));
         assertEquals(1, all(reeldeal.core.Effect.Call.class).get(0).sends().get(0).attempt());
     }
+
+    @Test
+    public void theIdOfAnOpenRequestIsNotTakenAgainAndIsForgottenInTime() {
+        play(ask(1, 1));
+        Request same = new Request(2, "q1", 0, null, 6000, false, "y", List.of(new Request.Piece(0, 1, 0)));
+        play(new Event.Arrived(same));
+        assertEquals(List.of(new reeldeal.core.Effect.Answer(2, new Reply.Invalid("the request's id is in use"))),
+                all(reeldeal.core.Effect.Answer.class));
+        assertEquals(List.of(), all(reeldeal.core.Effect.Call.class));
+        play(new Event.ClientGone(1));
+        int before = reducer.remembered();
+        now = 4000;
+        play(new Event.Arrived(same));
+        assertEquals(1, all(reeldeal.core.Effect.Call.class).size());
+        assertEquals(before, reducer.remembered());
+    }
+
+    @Test
+    public void searchersThatLeftAreForgottenWhetherToldGoneOrMissing() {
+        int before = reducer.remembered();
+        for (int i = 0; i < 50; i++) {
+            now += 100;
+            Searcher s = new Searcher("new" + i, "h:2", "a", "", 0, 0, 1, Listed.READY);
+            play(new Event.Told(ListKind.CHANGES, List.of(s)));
+            if (i % 2 == 0) {
+                play(new Event.Told(ListKind.CHANGES, List.of(new Searcher("new" + i, "", "", "", 0, 0, 1,
+                        Listed.GONE))));
+            } else {
+                play(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1,
+                        Listed.READY))));
+            }
+            assertTrue(all(reeldeal.core.Effect.Halt.class).stream()
+                    .anyMatch(h -> h.searcher().address().equals("h:2")));
+        }
+        assertEquals(before, reducer.remembered());
+    }
+
+    @Test
+    public void whatWasToGoToASearcherThatLeavesInTheSameTurnIsNotSent() {
+        play(ask(1, 1), new Event.Told(ListKind.CHANGES, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1,
+                Listed.GONE))));
+        assertEquals(List.of(), all(reeldeal.core.Effect.Call.class));
+    }
 }
--- a/src/test/java/reeldeal/decide/FailureTest.java
+++ b/src/test/java/reeldeal/decide/FailureTest.java
@@ -420,4 +420,15 @@
         assertEquals(List.of("server " + bad + " ejected"),
                 bed.lines.stream().filter(l -> l.contains("ejected")).toList());
     }
+
+    @Test
+    void serversThatLeftAreForgottenOnceTheyCouldNoLongerComeBackCold() {
+        Bed bed = new Bed().start(1);
+        for (int i = 100; i < 150; i++) {
+            bed.change(Bed.server(i, 0, bed.now, Aggregator.Listed.READY));
+            bed.change(Bed.server(i, 0, bed.now, Aggregator.Listed.GONE));
+            bed.pass(1000);
+        }
+        assertTrue(bed.root.remembered() <= 4 + 11, bed.root.remembered() + " remembered");
+    }
 }
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -15,17 +15,21 @@
 import org.junit.Before;
 import org.junit.Test;
 
-/** A server's bound on the memory of what it reads. */
+/** A server's bounds on the memory of what it reads, on connections and on their time. */
 public class HttpServerTest {
     private static final String HEAD = "POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
 
+    private volatile long now;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpServer server = new HttpServer(8, 100_000, (message, exchange) -> {
         if (message.path().equals("/fault")) {
             throw new IllegalStateException("a front's fault");
         }
-        exchange.respond(200, Map.of(), String.valueOf(message.body().length).getBytes(StandardCharsets.US_ASCII));
-    });
+        if (!message.path().equals("/held")) {
+            exchange.respond(200, Map.of(),
+                    String.valueOf(message.body().length).getBytes(StandardCharsets.US_ASCII));
+        }
+    }, () -> now);
 
     @Before
     public void listen() throws Exception {
@@ -83,4 +87,93 @@
             assertEquals("HTTP/1.1 200", start(good));
         }
     }
+
+    /** Lets time pass at the server. */
+    private void pass(long ms) throws Exception {
+        now += ms;
+        group.next().submit(server::sweep).sync();
+    }
+
+    private void awaitOpen(int connections) throws Exception {
+        while (group.next().submit(server::openConnections).sync().getNow() != connections) {
+            Thread.sleep(1);
+        }
+    }
+
+    @Test
+    public void whereThereAreTooManyConnectionsASilentOneGivesWayAndNoneThatWaits() throws Exception {
+        Socket[] silent = new Socket[6];
+        try (Socket waits = client(); Socket kept = client()) {
+            write(waits, "GET /held HTTP/1.1\r\n\r\n");
+            write(kept, "GET / HTTP/1.1\r\n\r\n");
+            assertEquals("HTTP/1.1 200", start(kept));
+            for (int i = 0; i < silent.length; i++) {
+                silent[i] = client();
+                awaitOpen(3 + i);
+                now += 1;
+            }
+            now += 300;
+            try (Socket fresh = client()) {
+                write(fresh, "GET / HTTP/1.1\r\n\r\n");
+                assertEquals("HTTP/1.1 200", start(fresh));
+                assertEquals("the one that was silent for longest", -1, silent[0].getInputStream().read());
+                write(kept, "GET / HTTP/1.1\r\n\r\n");
+                kept.getInputStream().readNBytes("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0".length() - 12);
+                assertEquals("HTTP/1.1 200", start(kept));
+            }
+        } finally {
+            for (Socket s : silent) {
+                s.close();
+            }
+        }
+    }
+
+    @Test
+    public void silenceHalfAMessageAndIdlenessHaveTheirTimeAndWhatWaitsForItsAnswerHasNot() throws Exception {
+        try (Socket silent = client(); Socket half = client(); Socket waits = client(); Socket idle = client()) {
+            write(half, "GET / HTTP/1.1\r\nHo");
+            write(waits, "GET /held HTTP/1.1\r\n\r\n");
+            write(idle, "GET / HTTP/1.1\r\n\r\n");
+            assertEquals("HTTP/1.1 200", start(idle));
+            awaitOpen(4);
+            while (group.next().submit(server::messagesBegun).sync().getNow() < 2) {
+                Thread.sleep(1);
+            }
+            pass(1_999);
+            awaitOpen(4);
+            pass(1);
+            assertEquals(-1, silent.getInputStream().read());
+            assertEquals("HTTP/1.1 408", start(half));
+            pass(2_000);
+            idle.getInputStream().readNBytes("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0".length() - 12);
+            assertEquals(-1, idle.getInputStream().read());
+            awaitOpen(1);
+        }
+    }
+
+    @Test
+    public void chunksThatAreNearlyAllFramingAreRefused() throws Exception {
+        try (Socket socket = client()) {
+            write(socket, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + ("1;" + "e".repeat(200) + "\r\nx\r\n").repeat(2_000));
+            assertEquals("HTTP/1.1 413", start(socket));
+        }
+    }
+
+    @Test
+    public void aMessageCutIntoSingleBytesIsOneMessage() {
+        HttpParser parser = new HttpParser(false);
+        byte[] bytes = ("\r\nPOST /a HTTP/1.1\r\nA: 1\r\na: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: r\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        StringBuilder read = new StringBuilder();
+        for (int i = 0; i < bytes.length; i++) {
+            parser.feed(bytes, i, 1);
+            if (parser.next() instanceof HttpParser.Complete c) {
+                read.append(c.message().path()).append(' ').append(c.message().header("a")).append(' ')
+                        .append(new String(c.message().body(), StandardCharsets.US_ASCII)).append('|');
+            }
+        }
+        assertEquals("/a 1, 2 abcde|/b null |", read.toString());
+    }
 }
--- a/src/test/java/reeldeal/searchers/PoolTest.java
+++ b/src/test/java/reeldeal/searchers/PoolTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.Assert.assertArrayEquals;
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.DataInputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -93,11 +95,23 @@
         assertEquals(new AttemptEnd.Broken(AttemptEnd.Reach.UNSENT, "no connection to be had"), beyond.end());
     }
 
+    private static void write(Socket to, String rest) throws Exception {
+        to.getOutputStream().write(new byte[] {0, 0, 0, (byte) rest.length()});
+        to.getOutputStream().write(rest.getBytes());
+    }
+
     @Test
     public void aNameGivenUpIsNotUsedAgainOnItsConnection() throws Exception {
-        on(() -> pool.call(call(1)));
+        on(() -> {
+            pool.call(call(1));
+            pool.call(call(2));
+        });
         Socket first = server.accept();
         frame(first, "Qq1.3 3 d=500 1\nx");
+        frame(first, "Qq2.3 3 d=500 1\nx");
+        now = 10;
+        write(first, "Aq2.3 ok 1 -\nvalue");
+        assertEquals(2, ((Event.AttemptEnded) next()).part());
         on(() -> pool.abandon(new Effect.Abandon(1, 0, false)));
         assertEquals(new AttemptEnd.Abandoned(AttemptEnd.Reach.SENT, false), ((Event.AttemptEnded) next()).end());
         frame(first, "Xq1.3");
@@ -105,14 +119,29 @@
         frame(server.accept(), "Qq1.3 3 d=500 1\nx");
     }
 
+    @Test
+    public void aConnectionOnWhichNothingCameIsResetWhenAPartOnItIsGivenUp() throws Exception {
+        on(() -> {
+            pool.call(call(1));
+            pool.call(call(2));
+        });
+        Socket silent = server.accept();
+        frame(silent, "Qq1.3 3 d=500 1\nx");
+        frame(silent, "Qq2.3 3 d=500 1\nx");
+        on(() -> pool.abandon(new Effect.Abandon(1, 0, false)));
+        assertEquals(new AttemptEnd.Abandoned(AttemptEnd.Reach.SENT, false), ((Event.AttemptEnded) next()).end());
+        assertEquals(new AttemptEnd.Broken(AttemptEnd.Reach.SENT, "silent"), ((Event.AttemptEnded) next()).end());
+        assertThrows(SocketException.class, () -> silent.getInputStream().read());
+        on(() -> pool.call(call(2)));
+        frame(server.accept(), "Qq2.3 3 d=500 1\nx");
+    }
+
     @Test
     public void aProbeBringsTheReportInTheSettingsOrderOrItsFailure() throws Exception {
         on(() -> pool.probe(new Effect.Probe(searcher)));
         Socket socket = server.accept();
         frame(socket, "L");
-        String report = "Lqueue=3,util=0.61";
-        socket.getOutputStream().write(new byte[] {0, 0, 0, (byte) report.length()});
-        socket.getOutputStream().write(report.getBytes());
+        write(socket, "Lqueue=3,util=0.61");
         Event.Probed probed = (Event.Probed) next();
         assertEquals(Outcome.OK, probed.outcome());
         assertArrayEquals(new double[] {0.61, 3}, probed.load(), 0);
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -13,6 +13,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -278,7 +279,12 @@
         switch (verb) {
             case "<" -> {
                 InputStream in = party.in(PATIENCE_MS);
-                String got = name.startsWith("dns") ? Wire.hex(in) : party.frames ? Wire.frame(in) : Wire.http(in);
+                String got;
+                try {
+                    got = name.startsWith("dns") ? Wire.hex(in) : party.frames ? Wire.frame(in) : Wire.http(in);
+                } catch (SocketException e) {
+                    got = "RESET";
+                }
                 count(name, party, got);
                 compare(rest, got);
             }
