--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -107,6 +107,8 @@
         if (least == null) {
             return false;
         }
+        // Its end is heard of later: until then it would be found again, for every one that comes now.
+        forget(least);
         least.context.close();
         return true;
     }
@@ -131,6 +133,12 @@
         }
     }
 
+    private void forget(Connection connection) {
+        if (connections.remove(connection)) {
+            heldBytes -= connection.parser.heldBytes();
+        }
+    }
+
     /** How much memory the messages take that are being read. */
     long heldBytes() {
         return heldBytes;
@@ -286,9 +294,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (connections.remove(this)) {
-                heldBytes -= parser.heldBytes();
-            }
+            forget(this);
             Pending left = current;
             current = null;
             if (left != null && left.gone != null) {
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -6,6 +6,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import reeldeal.benchlink.BenchLink;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
@@ -43,6 +48,7 @@
     }
 
     private static void serve() {
+        logPlainly();
         try {
             StoreFile storeFile = StoreFile.read(System.getenv());
             byte[] file = Config.file(System.getenv());
@@ -78,6 +84,28 @@
         }
     }
 
+    /**
+     * Has the libraries' warnings written as plain lines. The platform's own formatter opens files when it is
+     * first used, and a warning that comes because there are no descriptors left must not end the event loop.
+     */
+    private static void logPlainly() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord warning) {
+                if (warning.getLevel().intValue() >= Level.WARNING.intValue()) {
+                    Broker.log(warning.getMessage() + (warning.getThrown() == null ? "" : ": " + warning.getThrown()));
+                }
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        });
+    }
+
     /** The configuration that the store keeps; waits until there is one. */
     private static byte[] kept(EventLoopGroup group, Store store) throws InterruptedException {
         while (true) {
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -9,7 +9,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Before;
@@ -176,4 +179,35 @@
         }
         assertEquals("/a 1, 2 abcde|/b null |", read.toString());
     }
+
+    @Test
+    public void manyThatComeInOneTurnDoNotAllTakeTheRoomOfOne() throws Exception {
+        List<Socket> all = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            all.add(client());
+        }
+        awaitOpen(8);
+        now = 300;
+        CountDownLatch hold = new CountDownLatch(1);
+        group.next().execute(() -> {
+            try {
+                hold.await(); // what connects meanwhile is accepted in one turn
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        for (int i = 0; i < 7; i++) {
+            all.add(client());
+        }
+        hold.countDown();
+        for (int i = 0; i < 7; i++) {
+            assertEquals("the old silent one " + i, -1, all.get(i).getInputStream().read());
+        }
+        write(all.get(14), "GET / HTTP/1.1\r\n\r\n");
+        assertEquals("HTTP/1.1 200", start(all.get(14)));
+        awaitOpen(8);
+        for (Socket s : all) {
+            s.close();
+        }
+    }
 }
