--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -35,7 +35,8 @@
     private static final int LINGER_BYTES = 256 * 1024; // of that which are read and dropped
     private static final int FIRST_MS = 2_000; // from connecting to the end of the first request
     private static final int MESSAGE_MS = 2_000; // from a later message's first byte to its last
-    private static final int IDLE_MS = 4_000; // between requests
+    private static final int IDLE_MS = 2_000; // between requests
+    private static final int IDLE_PART = 3; // of all connections that may be idle at once
     private static final int UNREAD_MS = 4_000; // for which a client may leave an answer unread
     private static final int CROWDED_MS = 250; // a silent connection this old gives way where there are too many
     private static final int SWEEP_MS = 250;
@@ -133,6 +134,25 @@
         }
     }
 
+    /**
+     * Closes the connection that has been idle for longest where too many are: clients open no further ones
+     * once they hold a share of the descriptors, however few of those they still use.
+     */
+    private void trimIdle() {
+        Connection oldest = null;
+        int idle = 0;
+        for (Connection c : connections) {
+            if (c.asked && c.current == null && !c.ended && !c.pausing && !c.parser.inMessage()) {
+                idle++;
+                oldest = oldest == null || c.quietSince < oldest.quietSince ? c : oldest;
+            }
+        }
+        if (idle > Math.max(1, maxConnections / IDLE_PART)) {
+            forget(oldest);
+            oldest.context.close();
+        }
+    }
+
     private void forget(Connection connection) {
         if (connections.remove(connection)) {
             heldBytes -= connection.parser.heldBytes();
@@ -251,6 +271,7 @@
         /** After a response that leaves the connection open. */
         private void answered(int status) {
             quietSince = messageSince = clock.getAsLong();
+            trimIdle();
             badInRow = status >= 400 && status < 500 && status != 409 && status != 429 ? badInRow + 1 : 0;
             if (badInRow > 1) {
                 // One who sends the same bad request again and again must not have the time of the others.
