--- a/src/main/java/reeldeal/http/HttpParser.java
+++ b/src/main/java/reeldeal/http/HttpParser.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
  * Reads HTTP/1.1 messages from bytes as they come: bodies by length or in chunks, with a bound on every
@@ -19,6 +20,8 @@
     private static final int MAX_CHUNK_LINE = 256;
     private static final int MAX_FRAMING = 4 * MAX_BODY; // bytes that chunks may take beside what they hold
     private static final int KEPT = 1024;
+    private static final Pattern LINE_END = Pattern.compile("\r?\n");
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     /** What reading came to. */
     public sealed interface Result { }
@@ -118,7 +121,7 @@
         if (headEnd < 0) {
             return new NeedMore(false);
         }
-        String[] lines = new String(buffer, at, headEnd - at, StandardCharsets.ISO_8859_1).split("\r?\n");
+        String[] lines = LINE_END.split(new String(buffer, at, headEnd - at, StandardCharsets.ISO_8859_1));
         at = headEnd;
         String[] words = lines[0].split(" ", 3);
         if (words.length < (responses ? 2 : 3) || words[0].isEmpty() || words[1].isEmpty()) {
@@ -170,7 +173,7 @@
         if (length == null) {
             return complete(new byte[0]);
         }
-        if (!length.matches("[0-9]{1,18}")) {
+        if (!LENGTH.matcher(length).matches()) {
             return new Malformed(400, "malformed length");
         }
         wanted = Long.parseLong(length);
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -35,8 +35,8 @@
     private static final int LINGER_BYTES = 256 * 1024; // of that which are read and dropped
     private static final int FIRST_MS = 2_000; // from connecting to the end of the first request
     private static final int MESSAGE_MS = 2_000; // from a later message's first byte to its last
-    private static final int IDLE_MS = 2_000; // between requests
-    private static final int IDLE_PART = 3; // of all connections that may be idle at once
+    private static final int IDLE_MS = 4_000; // between requests
+    private static final int IDLE_PART = 2; // of all connections that may be idle at once
     private static final int UNREAD_MS = 4_000; // for which a client may leave an answer unread
     private static final int CROWDED_MS = 250; // a silent connection this old gives way where there are too many
     private static final int SWEEP_MS = 250;
@@ -51,6 +51,7 @@
     private Channel listener;
     private long heldBytes;
     private boolean closing;
+    private boolean keepIdle;
 
     /**
      * A server for a front. Where there would be more connections than this, one on which nothing is asked
@@ -119,6 +120,11 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** From now on no idle connection is closed: their clients will not get others for long. */
+    public void keepIdle() {
+        keepIdle = true;
+    }
+
     /** Stops accepting; the connections that are open are served on. */
     public void stopListening() {
         listener.close();
@@ -147,7 +153,7 @@
                 oldest = oldest == null || c.quietSince < oldest.quietSince ? c : oldest;
             }
         }
-        if (idle > Math.max(1, maxConnections / IDLE_PART)) {
+        if (!keepIdle && idle > Math.max(1, maxConnections / IDLE_PART)) {
             forget(oldest);
             oldest.context.close();
         }
@@ -301,7 +307,7 @@
                 }
             } else if (inMessage && now - (asked ? messageSince + MESSAGE_MS : quietSince + FIRST_MS) >= 0) {
                 turnDown(408, SLOW);
-            } else if (!inMessage && now - quietSince >= (asked ? IDLE_MS : FIRST_MS)) {
+            } else if (!inMessage && !(asked && keepIdle) && now - quietSince >= (asked ? IDLE_MS : FIRST_MS)) {
                 context.close();
             }
         }
--- a/src/main/java/reeldeal/platform/PlatformFront.java
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 import reeldeal.core.Port;
 import reeldeal.core.Reply;
 import reeldeal.core.Request;
@@ -18,6 +19,9 @@
     private static final Map<String, String> PLAIN = Map.of("Content-Type", "text/plain");
     private static final Map<String, String> JSON = Map.of("Content-Type", "application/json");
 
+    private static final Pattern WORD = Pattern.compile("[!-+\\--~]{1,128}");
+    private static final Pattern MILLIS = Pattern.compile("[0-9]{1,9}");
+
     private final Port port;
     private final Settings settings;
     private final List<String> classes;
@@ -57,7 +61,7 @@
         boolean keyed = settings.classes().get(klass).effect() == Effect.KEYED;
         if (!isWord(name)) {
             plain(exchange, 400, "X-Correlation-Id is missing or malformed");
-        } else if (left != null && !left.matches("[0-9]{1,9}")) {
+        } else if (left != null && !MILLIS.matcher(left).matches()) {
             plain(exchange, 400, "X-Time-Left-Ms is malformed");
         } else if (keyed && !isWord(key)) {
             plain(exchange, 400, "Idempotency-Key is missing or malformed");
@@ -100,6 +104,6 @@
 
     /** Whether this can stand in a searcher's frame, whose fields end at spaces, commas and line ends. */
     private static boolean isWord(String value) {
-        return value != null && value.matches("[!-+\\--~]{1,128}");
+        return value != null && WORD.matcher(value).matches();
     }
 }
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -139,6 +139,7 @@
         double began = clock.now();
         double until = began + Math.max(longest, 3_000) + 600;
         drainBegan = began;
+        loop.submit(() -> servers.forEach(HttpServer::keepIdle)).sync();
         Thread.sleep((long) DRAIN_ACCEPT_MS);
         loop.submit(() -> servers.forEach(HttpServer::stopListening)).sync();
         while (clock.now() < began + DRAIN_SERVE_MS && !loop.submit(this::idle).sync().getNow()) {
