--- /dev/null
+++ b/src/main/java/reeldeal/config/KeyFile.java
@@ -0,0 +1,85 @@
+package reeldeal.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.LinkOption;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.Base64;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import reeldeal.config.Config.Invalid;
+import reeldeal.dns.Names;
+import reeldeal.dns.Tsig;
+
+/**
+ * A file with one TSIG key: {@code {"name": "...", "algorithm": "hmac-sha256", "secret": "base64"}}. It must be
+ * open to its owner only.
+ */
+public final class KeyFile {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int MIN_SECRET = 16;
+
+    private KeyFile() { }
+
+    /** The key in a file. */
+    public static Tsig.Key read(Path file) throws Invalid {
+        Map<String, String> values = new HashMap<>();
+        try {
+            if (Files.getFileStore(file).supportsFileAttributeView("posix")) {
+                Set<PosixFilePermission> others = EnumSet.copyOf(Files.getPosixFilePermissions(file));
+                others.removeAll(PosixFilePermissions.fromString("rwx------"));
+                if (!others.isEmpty()) {
+                    throw new Invalid(file + ": expected mode 600 or 400, found " + PosixFilePermissions.toString(
+                            Files.getPosixFilePermissions(file)) + "; run chmod 600 " + file);
+                }
+            }
+            if (!Files.isRegularFile(file, LinkOption.NOFOLLOW_LINKS)) {
+                throw new Invalid(file + ": expected a regular file");
+            }
+            try (JsonParser json = JSON.createParser(Files.readAllBytes(file))) {
+                if (json.nextToken() != JsonToken.START_OBJECT) {
+                    throw new Invalid(file + ": expected a JSON object");
+                }
+                JsonPaths.read(json, "", values, 0);
+            }
+        } catch (IOException e) {
+            // The text of a JSON error may quote the secret.
+            throw new Invalid(file + ": cannot be read: " + (e instanceof java.nio.file.FileSystemException
+                    ? e.getMessage() : "not JSON"));
+        }
+        String name = Names.parse(values.getOrDefault("name", ""), ".");
+        String algorithm = values.getOrDefault("algorithm", "hmac-sha256");
+        if (name == null || name.equals(".")) {
+            throw new Invalid(file + ": name: expected a domain name");
+        }
+        try {
+            byte[] secret = Base64.getDecoder().decode(values.getOrDefault("secret", ""));
+            if (secret.length < MIN_SECRET) {
+                throw new Invalid(file + ": secret: expected at least " + MIN_SECRET + " bytes in base64");
+            }
+            return new Tsig.Key(name, algorithm.endsWith(".") ? algorithm : algorithm + ".", secret);
+        } catch (IllegalArgumentException e) {
+            throw new Invalid(file + (e.getMessage().startsWith("expected") ? ": algorithm: " + e.getMessage()
+                    : ": secret: expected base64"));
+        }
+    }
+
+    /** Writes a key to a new file that only its owner can read. */
+    public static void write(Path file, Tsig.Key key) throws IOException {
+        String text = "{\"name\": \"" + key.name() + "\", \"algorithm\": \""
+                + key.algorithm().substring(0, key.algorithm().length() - 1) + "\",\n \"secret\": \""
+                + Base64.getEncoder().encodeToString(key.secret()) + "\"}\n";
+        try (var out = Files.newByteChannel(file, Set.of(java.nio.file.StandardOpenOption.CREATE_NEW,
+                java.nio.file.StandardOpenOption.WRITE), PosixFilePermissions.asFileAttribute(
+                PosixFilePermissions.fromString("rw-------")))) {
+            out.write(java.nio.ByteBuffer.wrap(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        }
+    }
+}
--- a/src/main/java/reeldeal/config/StoreFile.java
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -12,12 +12,13 @@
 import java.util.TreeMap;
 import reeldeal.config.Config.Invalid;
 import reeldeal.store.StoreConfig;
+import reeldeal.zones.ZonesConfig;
 
 /**
- * The replicated store and the zone kept in it, as a file under {@code deploy/} says; where there is none, both
- * are off. {@code dnsListen} is null where only the store is wanted.
+ * The replicated store and the zones kept in it, as a file under {@code deploy/} says; where there is none, both
+ * are off. {@code zones} is null where only the store is wanted.
  */
-public record StoreFile(StoreConfig store, InetSocketAddress dnsListen, String origin, String zoneFile) {
+public record StoreFile(StoreConfig store, ZonesConfig zones) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FILE = "deploy/store.json";
 
@@ -54,18 +55,11 @@
         }
         StoreConfig store = new StoreConfig(node, writer, Long.parseLong(term), nodes,
                 Path.of(text(values, "folder")));
-        if (!values.containsKey("dns.listen")) {
-            return new StoreFile(store, null, null, null);
-        }
-        try {
-            return new StoreFile(store, loopback(values, "dns.listen"), text(values, "dns.origin"),
-                    Files.readString(Path.of(text(values, "dns.zone_file"))));
-        } catch (IOException e) {
-            throw new Invalid("store dns.zone_file: cannot be read: " + e.getMessage());
-        }
+        return new StoreFile(store, values.keySet().stream().anyMatch(k -> k.startsWith("dns.")) ? ZonesFile.read(values)
+                : null);
     }
 
-    private static String text(Map<String, String> values, String key) throws Invalid {
+    static String text(Map<String, String> values, String key) throws Invalid {
         String value = values.get(key);
         if (value == null || value.isEmpty()) {
             throw new Invalid("store " + key + ": not set");
@@ -73,7 +67,7 @@
         return value;
     }
 
-    private static InetSocketAddress loopback(Map<String, String> values, String key) throws Invalid {
+    static InetSocketAddress loopback(Map<String, String> values, String key) throws Invalid {
         InetSocketAddress address = Config.address(values, key);
         if (address.isUnresolved() || !address.getAddress().isLoopbackAddress()) {
             throw new Invalid("store " + key + ": not a loopback address: " + address.getHostString());
--- a/src/main/java/reeldeal/dns/Rr.java
+++ b/src/main/java/reeldeal/dns/Rr.java
@@ -1,32 +1,40 @@
 package reeldeal.dns;
 
 import java.util.Arrays;
-import java.util.Map;
 
-/** A resource record; its data are as on the wire, names in them without compression. */
-record Rr(String name, int type, int klass, long ttl, byte[] data) {
-    static final int IN = 1;
-    static final int NONE = 254;
-    static final int ANY = 255;
-    static final int A = 1;
-    static final int NS = 2;
-    static final int CNAME = 5;
-    static final int SOA = 6;
-    static final int PTR = 12;
-    static final int MX = 15;
-    static final int TXT = 16;
-    static final int AAAA = 28;
-    static final int SRV = 33;
-    static final int AXFR = 252;
-    static final Map<String, Integer> TYPES = Map.of("A", A, "NS", NS, "CNAME", CNAME, "SOA", SOA, "PTR", PTR,
-            "MX", MX, "TXT", TXT, "AAAA", AAAA, "SRV", SRV);
+/**
+ * A resource record; its data are as on the wire, names in them without compression.
+ *
+ * @param name absolute, in lower case
+ * @param ttl seconds, 0 to 2^31 - 1 (RFC 2181, section 8)
+ */
+public record Rr(String name, int type, int klass, long ttl, byte[] data) {
+    public static final int IN = 1;
+    public static final int CH = 3;
+    public static final int NONE = 254;
+    public static final int ANY = 255;
+    public static final int A = 1;
+    public static final int NS = 2;
+    public static final int CNAME = 5;
+    public static final int SOA = 6;
+    public static final int PTR = 12;
+    public static final int MX = 15;
+    public static final int TXT = 16;
+    public static final int AAAA = 28;
+    public static final int SRV = 33;
+    public static final int DNAME = 39;
+    public static final int OPT = 41;
+    public static final int TSIG = 250;
+    public static final int IXFR = 251;
+    public static final int AXFR = 252;
 
-    /** Whether the type only asks, and no record can have it. */
-    static boolean isMeta(int type) {
-        return type >= AXFR && type <= ANY || type == 249 || type == 250 || type == 251 || type == 41;
+    /** Whether the type only asks or belongs to one message, and no zone can hold it. */
+    public static boolean isMeta(int type) {
+        return type == 0 || type == OPT || type >= 249 && type <= ANY;
     }
 
-    boolean sameData(byte[] other) {
+    /** Whether the data are the same, byte for byte (RFC 2136, section 1.1.1). */
+    public boolean sameData(byte[] other) {
         return Arrays.equals(data, other);
     }
 }
--- a/src/main/java/reeldeal/dns/ZoneFile.java
+++ b/src/main/java/reeldeal/dns/ZoneFile.java
@@ -1,106 +1,160 @@
 package reeldeal.dns;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import reeldeal.dns.Rdata.Unreadable;
+import reeldeal.dns.Rdata.Word;
 
-/** Reads zone files (RFC 1035, section 5; {@code $TTL} by RFC 2308). */
-final class ZoneFile {
-    private static final long MAX_TTL = 0x7fffffffL;
+/**
+ * Reads zone files: RFC 1035, section 5, with {@code $INCLUDE}; {@code $TTL} by RFC 2308, section 4; opaque
+ * types by RFC 3597; {@code $GENERATE} as it is commonly understood. What other files an include may reach is
+ * the caller's to decide.
+ */
+public final class ZoneFile {
+    private static final int MAX_INCLUDES = 8;
+    private static final long MAX_GENERATED = 1_000_000;
+    private static final Pattern RANGE = Pattern.compile("([0-9]{1,9})-([0-9]{1,9})(?:/([0-9]{1,9}))?");
+    private static final Pattern HOLE = Pattern.compile("\\\\\\$|\\$\\$|\\$(?:\\{([^}]*)\\})?");
 
-    /** What is wrong with a zone file, and in which line. */
-    static final class Malformed extends Exception {
+    /** What is wrong with a zone file: the file, the line and the column, and what was expected there. */
+    public static final class Malformed extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Malformed(int line, String why) {
-            super("zone file, line " + line + ": " + why);
+        Malformed(String file, int line, int column, String expected) {
+            super(file + ":" + line + ":" + column + ": " + expected);
         }
     }
 
-    private record Word(String text, boolean quoted) { }
+    /** Finds the text of an included file; throws with a reason where it may not be read. */
+    public interface Includes {
+        /** The text of a file named in a zone file. */
+        String read(String name) throws java.io.IOException;
+    }
+
+    /** What all files of one zone share. */
+    private static final class Shared {
+        final String zoneOrigin;
+        final Includes includes;
+        final Set<String> open = new HashSet<>();
+        Zone zone;
+        long defaultTtl = -1;
+        long lastTtl = -1;
+
+        Shared(String zoneOrigin, Includes includes) {
+            this.zoneOrigin = zoneOrigin;
+            this.includes = includes;
+            this.zone = Zone.empty(zoneOrigin);
+        }
+    }
 
+    private final String file;
     private final String text;
-    private final Zone zone;
+    private final Shared shared;
     private String origin;
     private String owner;
-    private long defaultTtl = -1;
     private int at;
     private int line = 1;
+    private int lineBegan;
     private int entryLine = 1;
+    private int entryColumn = 1;
 
-    private ZoneFile(String text, String origin) {
+    private ZoneFile(String file, String text, String origin, Shared shared) {
+        this.file = file;
         this.text = text;
         this.origin = origin;
-        this.zone = new Zone(origin);
+        this.shared = shared;
     }
 
-    static Zone parse(String text, String origin) throws Malformed {
-        return new ZoneFile(text, origin).read();
+    /** Reads a zone; {@code file} is the name that errors give. The origin is absolute and in lower case. */
+    public static Zone parse(String file, String text, String origin, Includes includes) throws Malformed {
+        Shared shared = new Shared(origin, includes);
+        shared.open.add(file);
+        ZoneFile reader = new ZoneFile(file, text, origin, shared);
+        reader.read();
+        if (shared.zone.get(origin, Rr.SOA) == null) {
+            throw reader.bad(null, "expected a SOA record at " + origin + ", found none in the file");
+        }
+        if (shared.zone.get(origin, Rr.NS) == null) {
+            throw reader.bad(null, "expected an NS record at " + origin + ", found none in the file");
+        }
+        return shared.zone;
     }
 
-    private Malformed bad(String why) {
-        return new Malformed(entryLine, why);
+    /** The words of one entry. */
+    static List<Word> words(String entry) throws Malformed {
+        return new ZoneFile("record", entry, ".", null).words();
     }
 
-    private Zone read() throws Malformed {
+    private Malformed bad(Word word, String expected) {
+        return word == null ? new Malformed(file, entryLine, entryColumn, expected)
+                : new Malformed(file, word.line(), word.column(), expected);
+    }
+
+    private Malformed badHere(String expected) {
+        return new Malformed(file, line, at - lineBegan + 1, expected);
+    }
+
+    private void read() throws Malformed {
         while (at < text.length()) {
             boolean blankOwner = text.charAt(at) == ' ' || text.charAt(at) == '\t';
             entryLine = line;
-            List<Word> words = entry();
+            entryColumn = at - lineBegan + 1;
+            List<Word> words = words();
             if (!words.isEmpty()) {
                 entry(words, blankOwner);
             }
         }
-        if (zone.get(zone.origin, Rr.SOA) == null) {
-            throw bad("no SOA record at " + zone.origin);
-        }
-        return zone;
     }
 
     /** The words up to the end of the line, or of the lines that parentheses join. */
-    private List<Word> entry() throws Malformed {
+    private List<Word> words() throws Malformed {
         List<Word> words = new ArrayList<>();
-        int depth = 0;
+        boolean open = false;
         while (at < text.length()) {
             char c = text.charAt(at);
             if (c == '\n') {
                 at++;
                 line++;
-                if (depth == 0) {
+                lineBegan = at;
+                if (!open) {
                     return words;
                 }
             } else if (c == ' ' || c == '\t' || c == '\r') {
                 at++;
             } else if (c == ';') {
-                while (at < text.length() && text.charAt(at) != '\n') {
-                    at++;
-                }
+                int end = text.indexOf('\n', at);
+                at = end < 0 ? text.length() : end;
             } else if (c == '(' || c == ')') {
-                depth += c == '(' ? 1 : -1;
-                if (depth < 0 || depth > 1) {
-                    throw bad("unmatched parenthesis");
+                if (open == (c == '(')) {
+                    throw badHere(open ? "expected a record's end before another parenthesis opens"
+                            : "expected no closing parenthesis, since none is open");
                 }
+                open = c == '(';
                 at++;
             } else {
                 words.add(word(c == '"'));
             }
         }
-        if (depth != 0) {
-            throw bad("unmatched parenthesis");
+        if (open) {
+            throw bad(null, "expected a closing parenthesis for this record");
         }
         return words;
     }
 
     private Word word(boolean quoted) throws Malformed {
+        int column = at - lineBegan + 1;
         StringBuilder word = new StringBuilder();
         at += quoted ? 1 : 0;
         while (at < text.length()) {
             char c = text.charAt(at);
             if (quoted ? c == '"' : " \t\r\n;()\"".indexOf(c) >= 0) {
                 at += quoted ? 1 : 0;
-                return new Word(word.toString(), quoted);
+                return new Word(word.toString(), quoted, line, column);
             }
             if (quoted && c == '\n') {
                 break;
@@ -112,207 +166,222 @@
             }
         }
         if (quoted) {
-            throw bad("a string without its end");
+            throw new Malformed(file, line, column, "expected a closing quotation mark in this line");
         }
-        return new Word(word.toString(), false);
+        return new Word(word.toString(), false, line, column);
     }
 
     private void entry(List<Word> words, boolean blankOwner) throws Malformed {
-        String first = words.get(0).text();
-        if (first.startsWith("$") && !blankOwner) {
-            switch (first) {
-                case "$ORIGIN" -> origin = name(argument(words));
-                case "$TTL" -> defaultTtl = ttl(argument(words));
-                default -> throw bad(first + " is not supported");
-            }
+        Word first = words.get(0);
+        if (first.text().startsWith("$") && !first.quoted() && !blankOwner) {
+            directive(words);
             return;
         }
-        int i = 0;
         if (!blankOwner) {
-            owner = name(words.get(i++).text());
+            owner = name(first);
         }
         if (owner == null) {
-            throw bad("no owner");
+            throw bad(first, "expected an owner's name, since no record stands before this one");
+        }
+        record(owner, words, blankOwner ? 0 : 1);
+    }
+
+    private void directive(List<Word> words) throws Malformed {
+        Word first = words.get(0);
+        switch (first.text().toUpperCase(Locale.ROOT)) {
+            case "$ORIGIN" -> origin = name(argument(words, 2, "a domain name"));
+            case "$TTL" -> {
+                try {
+                    shared.defaultTtl = Rdata.time(argument(words, 2, "a time"));
+                } catch (Unreadable e) {
+                    throw bad(e.word, e.getMessage());
+                }
+            }
+            case "$INCLUDE" -> include(words);
+            case "$GENERATE" -> generate(words);
+            default -> throw bad(first, "expected $ORIGIN, $TTL, $INCLUDE or $GENERATE, found " + first.text());
+        }
+    }
+
+    private Word argument(List<Word> words, int most, String what) throws Malformed {
+        if (words.size() < 2) {
+            throw bad(words.get(0), "expected " + what + " after " + words.get(0).text());
+        }
+        if (words.size() > most) {
+            throw bad(words.get(most), "expected the end of " + words.get(0).text());
+        }
+        return words.get(1);
+    }
+
+    /** An included file has its own origin and owner; neither comes back from it (RFC 1035, section 5.1). */
+    private void include(List<Word> words) throws Malformed {
+        Word named = argument(words, 3, "a file name");
+        if (shared.open.size() > MAX_INCLUDES || !shared.open.add(named.text())) {
+            throw bad(named, "expected no include that leads back to itself, or through over " + MAX_INCLUDES
+                    + " files");
+        }
+        String included;
+        try {
+            included = shared.includes.read(named.text());
+        } catch (java.io.IOException e) {
+            throw bad(named, "expected a file that can be included: " + e.getMessage());
+        }
+        ZoneFile other = new ZoneFile(named.text(), included, words.size() > 2 ? name(words.get(2)) : origin,
+                shared);
+        other.owner = owner;
+        other.read();
+        shared.open.remove(named.text());
+    }
+
+    /** {@code $GENERATE 1-9/2 host-$ [ttl] [class] A 10.0.0.$}; holes may say {@code ${offset,width,base}}. */
+    private void generate(List<Word> words) throws Malformed {
+        if (words.size() < 5) {
+            throw bad(words.get(0), "expected a range, an owner, a type and data after $GENERATE");
+        }
+        Matcher range = RANGE.matcher(words.get(1).text());
+        if (!range.matches()) {
+            throw bad(words.get(1), "expected a range as 1-9 or 1-9/2, found " + words.get(1).text());
+        }
+        long from = Long.parseLong(range.group(1));
+        long to = Long.parseLong(range.group(2));
+        long step = range.group(3) == null ? 1 : Long.parseLong(range.group(3));
+        if (to < from || step < 1 || (to - from) / step >= MAX_GENERATED) {
+            throw bad(words.get(1), "expected a range that goes up, of at most " + MAX_GENERATED + " steps");
+        }
+        for (long i = from; i <= to; i += step) {
+            List<Word> filled = new ArrayList<>();
+            for (Word word : words.subList(2, words.size())) {
+                filled.add(new Word(fill(word, i), word.quoted(), word.line(), word.column()));
+            }
+            record(name(filled.get(0)), filled, 1);
+        }
+    }
+
+    private String fill(Word word, long i) throws Malformed {
+        StringBuilder filled = new StringBuilder();
+        Matcher hole = HOLE.matcher(word.text());
+        int from = 0;
+        while (hole.find()) {
+            filled.append(word.text(), from, hole.start());
+            from = hole.end();
+            if (hole.group().equals("\\$") || hole.group().equals("$$")) {
+                filled.append('$');
+                continue;
+            }
+            String[] form = (hole.group(1) == null ? "0" : hole.group(1)).split(",", -1);
+            if (form.length > 3 || !form[0].matches("[+-]?[0-9]{1,9}")
+                    || form.length > 1 && !form[1].matches("[0-9]{1,3}")
+                    || form.length > 2 && !form[2].matches("[doxX]")) {
+                throw bad(word, "expected ${offset,width,d|o|x|X}, found " + hole.group());
+            }
+            long value = i + Long.parseLong(form[0].replace("+", ""));
+            if (value < 0) {
+                throw bad(word, "expected an offset that leaves no number below 0");
+            }
+            String digits = switch (form.length > 2 ? form[2] : "d") {
+                case "o" -> Long.toOctalString(value);
+                case "x" -> Long.toHexString(value);
+                case "X" -> Long.toHexString(value).toUpperCase(Locale.ROOT);
+                default -> Long.toString(value);
+            };
+            int width = form.length > 1 ? Integer.parseInt(form[1]) : 0;
+            filled.append("0".repeat(Math.max(0, width - digits.length()))).append(digits);
         }
+        return filled.append(word.text().substring(from)).toString();
+    }
+
+    /** A record: time to live and class in either order, type, data (RFC 1035, section 5.1). */
+    private void record(String name, List<Word> words, int from) throws Malformed {
         long ttl = -1;
         boolean classed = false;
+        int i = from;
         for (; i < words.size(); i++) {
             String word = words.get(i).text().toUpperCase(Locale.ROOT);
             if (word.equals("IN") && !classed) {
                 classed = true;
+            } else if (List.of("CH", "HS", "CS").contains(word) && !classed) {
+                throw bad(words.get(i), "expected class IN, found " + word);
             } else if (ttl < 0 && word.matches("[0-9]+([WDHMS][0-9WDHMS]*)?")) {
-                ttl = ttl(word);
+                try {
+                    ttl = Rdata.time(words.get(i));
+                } catch (Unreadable e) {
+                    throw bad(e.word, e.getMessage());
+                }
             } else {
                 break;
             }
         }
         if (i == words.size()) {
-            throw bad("no type");
+            throw bad(null, "expected a record type");
         }
-        String typed = words.get(i).text().toUpperCase(Locale.ROOT);
-        Integer type = Rr.TYPES.get(typed);
-        if (type == null) {
-            throw bad("type " + typed + " is not supported");
+        int type = Types.number(words.get(i).text());
+        if (type < 0 || Rr.isMeta(type)) {
+            throw bad(words.get(i), "expected a record type, found " + words.get(i).text());
         }
-        if (!Names.within(owner, zone.origin)) {
-            throw bad(owner + " is out of zone");
+        if (!Names.within(name, shared.zoneOrigin)) {
+            throw bad(words.get(0), "expected a name within " + shared.zoneOrigin + ", found " + name);
         }
-        byte[] data = data(type, words.subList(i + 1, words.size()));
-        if (ttl < 0 && defaultTtl < 0 && type == Rr.SOA) {
-            ttl = ByteBuffer.wrap(data).getInt(data.length - 4) & 0xffffffffL;
+        byte[] data;
+        try {
+            data = Rdata.parse(type, words.subList(i + 1, words.size()), origin);
+        } catch (Unreadable e) {
+            throw bad(e.word, e.getMessage());
+        }
+        add(name, type, ttl, data, words.get(i));
+    }
+
+    private void add(String name, int type, long given, byte[] data, Word typed) throws Malformed {
+        long ttl = given >= 0 ? given : shared.defaultTtl >= 0 ? shared.defaultTtl : shared.lastTtl;
+        if (ttl < 0 && type == Rr.SOA) {
+            ttl = Zone.soaNumber(data, 4); // RFC 2308, section 4: without $TTL
         }
-        ttl = ttl >= 0 ? ttl : defaultTtl;
         if (ttl < 0) {
-            throw bad("no time to live");
+            throw bad(typed, "expected a time to live, or $TTL before this record");
         }
-        defaultTtl = defaultTtl < 0 ? ttl : defaultTtl;
-        boolean hasCname = zone.get(owner, Rr.CNAME) != null;
-        if (type == Rr.CNAME ? !zone.at(owner).isEmpty() : hasCname) {
-            throw bad("a CNAME beside other data at " + owner);
+        shared.lastTtl = ttl;
+        boolean hasCname = shared.zone.get(name, Rr.CNAME) != null;
+        if (type == Rr.CNAME ? shared.zone.types(name).length > 0 : hasCname) {
+            throw bad(typed, "expected no other data beside a CNAME at " + name);
         }
-        if (type == Rr.SOA && (!owner.equals(zone.origin) || zone.get(owner, Rr.SOA) != null)) {
-            throw bad("a SOA record that is not the zone's only one");
+        if (type == Rr.SOA && (!name.equals(shared.zoneOrigin) || shared.zone.get(name, Rr.SOA) != null)) {
+            throw bad(typed, "expected one SOA record, at " + shared.zoneOrigin);
         }
-        zone.add(new Rr(owner, type, Rr.IN, ttl, data));
-    }
-
-    private String argument(List<Word> words) throws Malformed {
-        if (words.size() != 2) {
-            throw bad(words.get(0).text() + " takes one argument");
+        shared.zone = shared.zone.plus(new Rr(name, type, Rr.IN, ttl, data));
+        if (shared.zone.get(name, type).size() > RrSet.MAX_BYTES) {
+            throw bad(typed, "expected at most " + RrSet.MAX_BYTES + " bytes of data of one name and type");
         }
-        return words.get(1).text();
     }
 
-    private String name(String word) throws Malformed {
-        String name = Names.parse(word, origin);
+    private String name(Word word) throws Malformed {
+        String name = word.quoted() ? null : Names.parse(word.text(), origin);
         if (name == null) {
-            throw bad("malformed name " + word);
+            throw bad(word, "expected a domain name, found " + word.text());
         }
         return name;
     }
 
-    /** Seconds, or a sum with units as in {@code 1h30m}. */
-    private long ttl(String word) throws Malformed {
-        long sum = 0;
-        long number = -1;
-        for (char c : word.toUpperCase(Locale.ROOT).toCharArray()) {
-            int unit = "SMHDW".indexOf(c);
-            if (c >= '0' && c <= '9') {
-                number = Math.max(0, number) * 10 + c - '0';
-            } else if (unit >= 0 && number >= 0) {
-                sum += number * new long[] {1, 60, 3_600, 86_400, 604_800}[unit];
-                number = -1;
-            } else {
-                throw bad("malformed time " + word);
-            }
-            if (number > MAX_TTL || sum > MAX_TTL) {
-                throw bad("time too long: " + word);
-            }
-        }
-        return sum + Math.max(0, number);
-    }
+    // ---- writing ----
 
-    private long number(Word word, long most) throws Malformed {
-        if (!word.text().matches("[0-9]{1,10}") || Long.parseLong(word.text()) > most) {
-            throw bad("malformed number " + word.text());
+    /** The zone as a file that gives the same zone when it is read. */
+    public static void write(Zone zone, Appendable out) throws java.io.IOException {
+        out.append("$ORIGIN ").append(zone.origin).append('\n');
+        Rr soa = zone.soa();
+        if (soa != null) {
+            line(zone.origin, Rr.SOA, soa.ttl(), soa.data(), out);
         }
-        return Long.parseLong(word.text());
-    }
-
-    private byte[] data(int type, List<Word> words) throws Malformed {
-        int wanted = switch (type) {
-            case Rr.MX -> 2;
-            case Rr.SRV -> 4;
-            case Rr.SOA -> 7;
-            case Rr.TXT -> Math.max(1, words.size());
-            default -> 1;
-        };
-        if (words.size() != wanted) {
-            throw bad(wanted + " values are needed, not " + words.size());
-        }
-        ByteBuffer out = ByteBuffer.allocate(65_535);
-        switch (type) {
-            case Rr.A -> {
-                String[] bytes = words.get(0).text().split("\\.", -1);
-                if (bytes.length != 4) {
-                    throw bad("malformed address " + words.get(0).text());
-                }
-                for (String b : bytes) {
-                    out.put((byte) number(new Word(b, false), 255));
+        for (var sets = zone.sets(); sets.hasNext();) {
+            Zone.Placed placed = sets.next();
+            if (placed.type() != Rr.SOA || !placed.name().equals(zone.origin)) {
+                for (byte[] data : placed.set().data()) {
+                    line(placed.name(), placed.type(), placed.set().ttl(), data, out);
                 }
             }
-            case Rr.AAAA -> out.put(address6(words.get(0).text()));
-            case Rr.NS, Rr.CNAME, Rr.PTR -> out.put(Names.wire(name(words.get(0).text())));
-            case Rr.MX -> out.putShort((short) number(words.get(0), 65_535))
-                    .put(Names.wire(name(words.get(1).text())));
-            case Rr.SRV -> {
-                for (int i = 0; i < 3; i++) {
-                    out.putShort((short) number(words.get(i), 65_535));
-                }
-                out.put(Names.wire(name(words.get(3).text())));
-            }
-            case Rr.SOA -> {
-                out.put(Names.wire(name(words.get(0).text()))).put(Names.wire(name(words.get(1).text())));
-                out.putInt((int) number(words.get(2), 0xffffffffL));
-                for (int i = 3; i < 7; i++) {
-                    out.putInt((int) ttl(words.get(i).text()));
-                }
-            }
-            default -> {
-                for (Word word : words) {
-                    byte[] string = string(word.text());
-                    if (out.remaining() < 1 + string.length) {
-                        throw bad("text too long");
-                    }
-                    out.put((byte) string.length).put(string);
-                }
-            }
-        }
-        byte[] data = new byte[out.position()];
-        out.flip().get(data);
-        return data;
-    }
-
-    private byte[] string(String word) throws Malformed {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        for (int i = 0; i < word.length(); i++) {
-            if (word.charAt(i) == '\\') {
-                int code = Names.escape(word, i);
-                if (code < 0) {
-                    throw bad("malformed escape in " + word);
-                }
-                out.write(code);
-                i += Character.isDigit(word.charAt(i + 1)) ? 3 : 1;
-            } else {
-                out.writeBytes(String.valueOf(word.charAt(i)).getBytes(java.nio.charset.StandardCharsets.UTF_8));
-            }
         }
-        if (out.size() > 255) {
-            throw bad("a string longer than 255 bytes");
-        }
-        return out.toByteArray();
     }
 
-    /** Groups of up to four hex digits, of which one run of zeros may be left out. */
-    private byte[] address6(String word) throws Malformed {
-        String[] halves = word.split("::", -1);
-        List<String> groups = new ArrayList<>();
-        for (int h = 0; h < halves.length; h++) {
-            if (h == 1) {
-                int given = groups.size() + (halves[1].isEmpty() ? 0 : halves[1].split(":", -1).length);
-                for (int i = given; i < 8; i++) {
-                    groups.add("0");
-                }
-            }
-            if (!halves[h].isEmpty()) {
-                groups.addAll(List.of(halves[h].split(":", -1)));
-            }
-        }
-        ByteBuffer out = ByteBuffer.allocate(16);
-        if (halves.length > 2 || groups.size() != 8 || groups.stream().anyMatch(g -> !g.matches("[0-9a-fA-F]{1,4}"))) {
-            throw bad("malformed address " + word);
-        }
-        groups.forEach(g -> out.putShort((short) Integer.parseInt(g, 16)));
-        return out.array();
+    private static void line(String name, int type, long ttl, byte[] data, Appendable out)
+            throws java.io.IOException {
+        out.append(name).append(' ').append(Long.toString(ttl)).append(" IN ").append(Types.name(type)).append(' ')
+                .append(Rdata.format(type, data)).append('\n');
     }
 }
--- /dev/null
+++ b/src/main/java/reeldeal/membership/MemberFeed.java
@@ -0,0 +1,152 @@
+package reeldeal.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import reeldeal.core.Event;
+import reeldeal.core.Searcher;
+import reeldeal.decide.Aggregator.ListKind;
+import reeldeal.decide.Aggregator.Listed;
+import reeldeal.dns.Names;
+import reeldeal.dns.Zone;
+
+/**
+ * Brings the sources' news to {@link Membership} and its changes to the broker: the whole list first, then
+ * changes. All of it runs on one loop, which is not the loop that serves queries.
+ */
+public final class MemberFeed {
+    /** The name of discovery among the sources. */
+    public static final String DISCOVERY = "discovery";
+
+    private final ScheduledExecutorService loop;
+    private final Membership membership;
+    private final LongSupplier now;
+    private final Consumer<Event.Told> told;
+    private final Consumer<String> log;
+    private final Consumer<String> save;
+    private final Map<String, Set<String>> hosts = new HashMap<>();
+    private final Map<String, Claim> discovered = new LinkedHashMap<>();
+    private final Set<String> awaited;
+    private boolean begun;
+    private long planned = Long.MAX_VALUE;
+    private String saved = "";
+
+    /**
+     * A feed from these zones; {@code awaited} names those without which the first list is not told, so that
+     * a list with half of the fleet never goes out. {@code save} is handed what is to be kept.
+     */
+    public MemberFeed(ScheduledExecutorService loop, Membership membership, Set<String> awaited, LongSupplier now,
+            Consumer<Event.Told> told, Consumer<String> log, Consumer<String> save) {
+        this.loop = loop;
+        this.membership = membership;
+        this.awaited = new HashSet<>(awaited);
+        this.now = now;
+        this.told = told;
+        this.log = log;
+        this.save = save;
+    }
+
+    /** A zone is now this; {@code touched} are the names that changed, or null where any may have. */
+    public void zone(Zone zone, Set<String> touched) {
+        Set<String> known = hosts.get(zone.origin);
+        if (known != null && touched != null && touched.stream().noneMatch(n -> known.contains(n)
+                || Names.within(n, Claims.SERVICE + zone.origin))) {
+            return; // none of the searchers' records
+        }
+        List<Claim> claims = Claims.of(zone);
+        Set<String> names = new HashSet<>();
+        claims.forEach(c -> names.add(c.name()));
+        hosts.put(zone.origin, names);
+        awaited.remove(zone.origin);
+        membership.observe(now.getAsLong(), zone.origin, zone.serial(), claims);
+        pass();
+    }
+
+    /** A zone's secondary copy has expired. */
+    public void expired(String origin) {
+        membership.expired(now.getAsLong(), origin);
+        pass();
+    }
+
+    /** Discovery has spoken. */
+    public void discovery(Event.Told event) {
+        if (event.kind() == ListKind.WHOLE) {
+            discovered.clear();
+        }
+        for (Searcher s : event.entries()) {
+            Claim claim = Claims.of(s);
+            if (claim == null) {
+                discovered.remove(s.name());
+            } else {
+                discovered.put(s.name(), claim);
+            }
+        }
+        awaited.remove(DISCOVERY);
+        membership.observe(now.getAsLong(), DISCOVERY, -1, List.copyOf(discovered.values()));
+        pass();
+    }
+
+    /** The operator's words. */
+    public void words(Map<String, Membership.Word> words) {
+        membership.words(now.getAsLong(), words);
+        pass();
+    }
+
+    /** What was kept of a time before; the zones are told after this. */
+    public void restore(String text) {
+        membership.restore(now.getAsLong(), text);
+    }
+
+    /** The view with its reasons. */
+    public List<Membership.Entry> view() {
+        return membership.view();
+    }
+
+    private void pass() {
+        membership.takeLog().forEach(line -> log.accept("members: " + line));
+        if (!awaited.isEmpty()) {
+            return;
+        }
+        List<Searcher> changes = membership.takeChanges();
+        if (!begun) {
+            begun = true;
+            List<Searcher> whole = new ArrayList<>();
+            membership.view().forEach(e -> {
+                if (e.searcher().listed() != Listed.GONE) {
+                    whole.add(e.searcher());
+                }
+            });
+            told.accept(new Event.Told(ListKind.WHOLE, whole));
+        } else if (!changes.isEmpty()) {
+            told.accept(new Event.Told(ListKind.CHANGES, changes));
+        }
+        String left = membership.saved();
+        if (!left.equals(saved)) {
+            saved = left;
+            save.accept(left);
+        }
+        plan();
+    }
+
+    private void plan() {
+        long due = membership.due();
+        if (due < planned && due < Long.MAX_VALUE) {
+            planned = due;
+            loop.schedule(this::due, Math.max(0, due - now.getAsLong()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void due() {
+        planned = Long.MAX_VALUE;
+        membership.tick(now.getAsLong());
+        pass();
+    }
+}
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -44,6 +44,7 @@
     private final Clock clock = new Clock();
     private final Reducer reducer;
     private final Outlet searchers;
+    private final Consumer<Event.Told> discovered;
     private Watch watch;
     private Watch nextWatch;
     private final List<HttpServer> servers = new ArrayList<>();
@@ -56,6 +57,12 @@
     private volatile double drainBegan = Double.POSITIVE_INFINITY;
 
     public Broker(EventLoopGroup group, Config config) {
+        this(group, config, null);
+    }
+
+    /** A broker whose list of searchers others make: what discovery tells goes to them, null for to itself. */
+    Broker(EventLoopGroup group, Config config, Consumer<Event.Told> discovered) {
+        this.discovered = discovered;
         this.group = group;
         this.loop = group.next();
         this.config = config;
@@ -97,7 +104,13 @@
     }
 
     private Watch watchAt(InetSocketAddress address, Runnable heard) {
-        return new Watch(group, address, this::event, Broker::log, heard);
+        return new Watch(group, address, event -> {
+            if (discovered != null && event instanceof Event.Told told) {
+                discovered.accept(told);
+            } else {
+                event(event);
+            }
+        }, Broker::log, heard);
     }
 
     /**
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -12,18 +13,18 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import reeldeal.benchlink.BenchLink;
+import reeldeal.cli.Commands;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
-import reeldeal.core.Event;
-import reeldeal.decide.Aggregator.ListKind;
-import reeldeal.dns.DnsServer;
 import reeldeal.store.Change;
 import reeldeal.store.Store;
+import reeldeal.zones.ZonesConfig;
 import sun.misc.Signal;
 
 /**
  * The program: {@code serve} is a broker on sockets, {@code benchlink} the simulator's adapter,
- * {@code rehearse} the build's training run.
+ * {@code rehearse} the build's training run. All else is a command for operators; what these need is not loaded
+ * before.
  */
 public final class Main {
     private static final String CONFIG_KEY = "config/broker";
@@ -41,8 +42,7 @@
                 System.exit(0);
             }
             default -> {
-                System.err.println("usage: java -jar reeldeal.jar serve|benchlink");
-                System.exit(2);
+                System.exit(Commands.run(args));
             }
         }
     }
@@ -55,24 +55,25 @@
             if (file == null && storeFile == null) {
                 throw new IllegalArgumentException("LB_CONFIG: not set");
             }
-            EventLoopGroup group = new NioEventLoopGroup(1);
-            Store store = null;
-            if (storeFile != null) {
-                store = new Store(group, storeFile.store(), Broker::log);
+            // The store and the zones have a loop of their own: what they write and read never holds up queries.
+            EventLoopGroup state = storeFile == null ? null : new NioEventLoopGroup(1, new DefaultThreadFactory("state"));
+            Store store = storeFile == null ? null : new Store(state, storeFile.store(), Broker::log);
+            ZonesConfig zones = storeFile == null ? null : storeFile.zones();
+            ZoneDaemon daemon = zones == null ? null : new ZoneDaemon(state, store, zones);
+            if (store != null) {
                 store.start().sync();
             }
-            byte[] bytes = file != null ? file : kept(group, store);
-            boolean dns = storeFile != null && storeFile.dnsListen() != null;
-            Broker broker = new Broker(group, Config.parse(bytes, System.getenv(), dns));
+            EventLoopGroup group = new NioEventLoopGroup(1);
+            byte[] bytes = file != null ? file : kept(state, store);
+            Config config = Config.parse(bytes, System.getenv(), zones != null);
+            Broker broker = daemon == null ? new Broker(group, config) : new Broker(group, config, daemon::discovery);
             if (file != null && store != null) {
-                keep(group, store, new String(file, StandardCharsets.UTF_8));
+                keep(state, store, new String(file, StandardCharsets.UTF_8));
             }
             stopInOrder(broker);
-            reloadOnHangUp(broker, dns);
-            if (dns) {
-                DnsServer server = new DnsServer(group, store, storeFile.origin(), storeFile.zoneFile(), Broker::log);
-                Broker.log("dns on " + server.start(storeFile.dnsListen(),
-                        searchers -> broker.tell(new Event.Told(ListKind.WHOLE, searchers))));
+            reloadOnHangUp(broker, daemon);
+            if (daemon != null) {
+                daemon.start(broker::tell);
             }
             broker.start();
         } catch (Config.Invalid | IllegalArgumentException e) {
@@ -128,10 +129,13 @@
     }
 
     /** On SIGHUP, which would end the program, the configuration is read again; a bad one changes nothing. */
-    private static void reloadOnHangUp(Broker broker, boolean dns) {
+    private static void reloadOnHangUp(Broker broker, ZoneDaemon daemon) {
         try {
             Signal.handle(new Signal("HUP"), signal -> {
                 try {
+                    if (daemon != null) {
+                        daemon.readWords();
+                    }
                     byte[] file = Config.file(System.getenv());
                     if (file == null) {
                         Broker.log("not reloaded: LB_CONFIG: not set");
@@ -140,7 +144,7 @@
                     // The environment is that of the start: the address in the new file goes before it.
                     Map<String, String> environment = new HashMap<>(System.getenv());
                     environment.remove("LB_DISCOVERY");
-                    broker.reload(Config.parse(file, environment, dns));
+                    broker.reload(Config.parse(file, environment, daemon != null));
                 } catch (Config.Invalid | RuntimeException e) {
                     Broker.log("not reloaded: " + e.getMessage());
                 }
--- /dev/null
+++ b/src/main/java/reeldeal/serve/ZoneDaemon.java
@@ -0,0 +1,85 @@
+package reeldeal.serve;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import reeldeal.config.Config;
+import reeldeal.config.WordsFile;
+import reeldeal.core.Event;
+import reeldeal.membership.MemberFeed;
+import reeldeal.membership.Membership;
+import reeldeal.store.Store;
+import reeldeal.zones.DnsServer;
+import reeldeal.zones.Notifier;
+import reeldeal.zones.PeerLink;
+import reeldeal.zones.ZoneService;
+import reeldeal.zones.ZonesConfig;
+
+/** Wires the zones and the list of searchers that they give; all of it runs on the state loop. */
+final class ZoneDaemon {
+    private final EventLoopGroup state;
+    private final ZonesConfig config;
+    private final MemberFeed feed;
+    private final ZoneService service;
+    private final List<Event.Told> early = new ArrayList<>();
+    private Consumer<Event> broker;
+
+    /** For a store that has not begun yet. */
+    ZoneDaemon(EventLoopGroup state, Store store, ZonesConfig config) {
+        this.state = state;
+        this.config = config;
+        List<String> sources = new ArrayList<>();
+        config.zones().stream().filter(ZonesConfig.Entry::searchers).forEach(z -> sources.add(z.origin()));
+        Set<String> awaited = new LinkedHashSet<>(sources);
+        sources.add(MemberFeed.DISCOVERY);
+        feed = new MemberFeed(state.next(), new Membership(config.rules(), sources), awaited,
+                System::currentTimeMillis, this::told, Broker::log, left -> ZoneService.keepLeft(store, left));
+        Notifier notifier = new Notifier(state, state.next(), config.keys(), System::currentTimeMillis, Broker::log);
+        service = new ZoneService(config, store, state.next(), PeerLink.over(state), notifier,
+                System::currentTimeMillis, feed, Broker::log);
+        readWords();
+    }
+
+    private void told(Event.Told event) {
+        if (broker == null) {
+            early.add(event);
+        } else {
+            broker.accept(event);
+        }
+    }
+
+    /** Listens, and tells the broker of the searchers from now on. */
+    void start(Consumer<Event> to) throws Exception {
+        DnsServer server = new DnsServer(state, service, config.maxConnections(), config.idleMs(), Broker::log);
+        Broker.log("dns on " + server.start(config.listen()));
+        state.next().submit(() -> {
+            broker = to;
+            early.forEach(to);
+            early.clear();
+        }).sync();
+    }
+
+    /** What discovery tells is one source among others. */
+    void discovery(Event.Told event) {
+        state.next().execute(() -> feed.discovery(event));
+    }
+
+    /** Reads the operator's words again; a file that cannot be used changes nothing. */
+    void readWords() {
+        if (config.words() == null) {
+            return;
+        }
+        try {
+            Map<String, Membership.Word> words = WordsFile.read(config.words());
+            state.next().execute(() -> feed.words(words));
+            Broker.log("members: " + words.size() + " words of the operator read");
+        } catch (Config.Invalid | IOException e) {
+            Broker.log("members: operator's words not read: " + e.getMessage());
+        }
+    }
+}
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -65,12 +65,14 @@
     private final NavigableMap<String, String> state = new TreeMap<>();
     private final List<Consumer<List<Change>>> listeners = new ArrayList<>();
     private final List<Runnable> whenWriting = new ArrayList<>();
+    private final List<Runnable> whenCurrent = new ArrayList<>();
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private final Map<Long, Consumer<Result>> writes = new HashMap<>();
     private final List<Channel> accepted = new ArrayList<>();
     private Channel listener;
     private long committed;
     private boolean leading;
+    private boolean current;
     private boolean closed;
 
     /** Opens the node's log; throws where its folder cannot be used. */
@@ -114,6 +116,29 @@
         return new TreeMap<>(state.subMap(prefix, true, prefix + Character.MAX_VALUE, false));
     }
 
+    /** The first keys that begin so, {@code most} at the most. */
+    public List<String> keysUnder(String prefix, int most) {
+        return state.subMap(prefix, true, prefix + Character.MAX_VALUE, false).keySet().stream().limit(most).toList();
+    }
+
+    /** Whether all that was committed when the writer last spoke, or that this writer took over, has been told. */
+    public boolean isCurrent() {
+        return current;
+    }
+
+    /** Runs this each time that the node has become current. */
+    public void whenCurrent(Runnable run) {
+        whenCurrent.add(run);
+    }
+
+    private void current(boolean now) {
+        boolean became = now && !current;
+        current = now;
+        if (became) {
+            whenCurrent.forEach(Runnable::run);
+        }
+    }
+
     /** The version up to which this node knows the log to be committed. */
     public long version() {
         return committed;
@@ -275,6 +300,7 @@
             if (leading && 1 + peers.values().stream().filter(p -> p.acked >= version).count()
                     >= config.majority()) {
                 commitUpTo(version);
+                current(true);
                 peers.values().forEach(Peer::send);
                 List<Runnable> ready = List.copyOf(whenWriting);
                 whenWriting.clear();
@@ -494,6 +520,7 @@
             }
             long last = before + more.size();
             commitUpTo(Math.min(commit, last));
+            current(committed >= commit);
             write(channel, 'K', out -> out.writeLong(last));
         }
 
--- /dev/null
+++ b/src/test/java/reeldeal/dns/MessageFuzzTest.java
@@ -0,0 +1,139 @@
+package reeldeal.dns;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.Test;
+
+/** Bytes and text from anywhere: what reads them ends, and says what is wrong. */
+public class MessageFuzzTest {
+    /** Seeds at which a reader once failed are kept here, and played with the others. */
+    private static final List<Long> KEPT = List.of();
+    private static final int SEEDS = 400;
+
+    private static byte[] sample() {
+        MessageWriter writer = new MessageWriter(1, 0, 65_535).question("www.example.test.", Rr.A, Rr.IN);
+        writer.add(1, new Rr("www.example.test.", Rr.A, Rr.IN, 60, new byte[4]));
+        writer.add(1, new Rr("example.test.", Rr.MX, Rr.IN, 60, Message.wholeData(Rr.MX,
+                concat(new byte[] {0, 1}, Names.wire("mail.example.test.")))));
+        writer.add(2, new Rr("example.test.", Rr.TXT, Rr.IN, 60, new byte[] {1, 'x'}));
+        writer.edns(1_232, 0, false);
+        return writer.toBytes();
+    }
+
+    private static byte[] concat(byte[] a, byte[] b) {
+        byte[] both = Arrays.copyOf(a, a.length + b.length);
+        System.arraycopy(b, 0, both, a.length, b.length);
+        return both;
+    }
+
+    /** Reads, and where it is a message checks its signature and answers: nothing but Malformed comes out. */
+    private static boolean read(byte[] bytes) {
+        try {
+            Message message = Message.parse(bytes);
+            Responder responder = new Responder(message, 512, 0);
+            if (Tsig.isSigned(message)) {
+                responder.check(Map.of("k.", new Tsig.Key("k.", "hmac-sha256.", new byte[16])));
+            }
+            assertNotNull(responder.code(Rcode.REFUSED));
+            return true;
+        } catch (Message.Malformed e) {
+            assertNotNull(e.getMessage());
+            return false;
+        }
+    }
+
+    private static void play(long seed) {
+        java.util.Random random = new java.util.Random(seed);
+        byte[] bytes = seed % 3 == 0 ? new byte[random.nextInt(65_536)] : sample();
+        int changes = seed % 3 == 0 ? bytes.length : 1 + random.nextInt(6);
+        for (int i = 0; i < changes && bytes.length > 0; i++) {
+            bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+        }
+        read(seed % 5 == 0 ? Arrays.copyOf(bytes, random.nextInt(bytes.length + 1)) : bytes);
+    }
+
+    @Test
+    public void noiseNeverGetsFurtherThanAMalformedMessage() {
+        KEPT.forEach(MessageFuzzTest::play);
+        for (long seed = 0; seed < SEEDS; seed++) {
+            play(seed);
+        }
+        assertTrue(read(sample()));
+    }
+
+    @Test
+    public void pointersLeadOnlyBackAndCountsAreHeldAgainstTheBytes() {
+        byte[] loop = sample();
+        loop[12] = (byte) 0xc0;
+        loop[13] = 12;
+        assertTrue(!read(loop));
+        byte[] counts = sample();
+        counts[6] = (byte) 0xff;
+        counts[7] = (byte) 0xff;
+        assertTrue(!read(counts));
+        // A chain of pointers, each to the one before it: allowed, and its end is reached.
+        byte[] chain = new byte[12 + 1 + 2 * 3_000 + 4];
+        chain[5] = 1;
+        for (int i = 0; i < 3_000; i++) {
+            int target = i == 0 ? 12 : 13 + 2 * (i - 1);
+            chain[13 + 2 * i] = (byte) (0xc0 | target >> 8);
+            chain[14 + 2 * i] = (byte) target;
+        }
+        assertTrue("a root name with bytes behind it", !read(chain));
+        byte[] two = {0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, 'a', (byte) 0xc0, 12, 0, 1, 0, 1};
+        assertTrue("a pointer into the name itself", !read(two));
+    }
+
+    @Property(tries = 300, seed = "11")
+    void anyBytesAreReadToTheirEnd(@ForAll @Size(max = 600) byte[] bytes) {
+        read(bytes);
+    }
+
+    @Property(tries = 300, seed = "12")
+    void opaqueDataComeBackFromTheirText(@ForAll @Size(max = 200) byte[] data,
+            @ForAll @IntRange(min = 1, max = 65_279) int type) throws Exception {
+        int t = Rr.isMeta(type) || type == Rr.SOA ? 65_400 : type;
+        String text = Rdata.format(t, data);
+        byte[] whole = Types.fields(t) == null ? data : Message.wholeData(t, data);
+        if (whole == null) {
+            assertTrue("the form of RFC 3597 for what does not fit", text.startsWith("\\# " + data.length));
+            return;
+        }
+        Zone zone = ZoneFile.parse("p", "@ 1 SOA a b 1 2 3 4 5\n@ 1 NS a\nx 1 " + Types.name(t) + " " + text + "\n", "z.",
+                null);
+        assertTrue(text, zone.get("x.z.", t).holds(whole));
+    }
+
+    @Test
+    public void anyTextIsAZoneOrNamesThePlaceOfItsFault() {
+        String alphabet = " \t\n\r;()\"\\$@.0123456789aAxIN*-SOATXTMX#{},";
+        int faults = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            java.util.Random random = new java.util.Random(seed);
+            StringBuilder text = new StringBuilder("$TTL 5\n@ SOA a b 1 2 3 4 5\n@ NS a\nx A 10.0.0.1\ny TXT \"a b\" c\n"
+                    + "$GENERATE 1-3 g$ A 10.0.0.$\n");
+            for (int i = 0; i < 1 + random.nextInt(3); i++) {
+                int at = random.nextInt(text.length());
+                text.replace(at, Math.min(text.length(), at + random.nextInt(3)),
+                        String.valueOf(alphabet.charAt(random.nextInt(alphabet.length()))));
+            }
+            try {
+                assertNotNull(ZoneFile.parse("f", text.toString(), "z.", name -> {
+                    throw new java.io.IOException("none");
+                }).soa());
+            } catch (ZoneFile.Malformed e) {
+                faults++;
+                assertTrue(e.getMessage(), e.getMessage().matches("(?s)f:[0-9]+:[0-9]+: expected .*"));
+            }
+        }
+        assertTrue("both came up", faults > 20 && faults < SEEDS - 20);
+    }
+}
--- /dev/null
+++ b/src/test/java/reeldeal/zones/ZoneBed.java
@@ -0,0 +1,139 @@
+package reeldeal.zones;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.SimpleResolver;
+import org.xbill.DNS.Type;
+import reeldeal.core.Event;
+import reeldeal.dns.Tsig;
+import reeldeal.membership.MemberFeed;
+import reeldeal.membership.Membership;
+import reeldeal.store.Store;
+import reeldeal.store.StoreConfig;
+
+/** A zone service on loopback, in this process, with a store of one node. */
+public final class ZoneBed implements AutoCloseable {
+    static final Acl ANY = Acl.parse(List.of("any"));
+
+    public final EventLoopGroup group = new NioEventLoopGroup(1);
+    public final List<String> log = new CopyOnWriteArrayList<>();
+    public final List<Event.Told> told = new CopyOnWriteArrayList<>();
+    public final Path folder;
+    public final Store store;
+    public final InetSocketAddress address;
+    public final MemberFeed feed;
+
+    /** A bed of these zones; files of zones may be given as text by {@link #primary}. */
+    ZoneBed(Path folder, List<ZonesConfig.Entry> zones, Map<String, Tsig.Key> keys, int maxConnections, long idleMs)
+            throws Exception {
+        this.folder = folder;
+        store = new Store(group, new StoreConfig("a", "a", 1,
+                Map.of("a", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)), folder.resolve("state")),
+                log::add);
+        ZonesConfig config = new ZonesConfig(null, zones, keys, maxConnections, idleMs, Membership.Rules.DEFAULT, null);
+        List<String> sources = new ArrayList<>(zones.stream().filter(ZonesConfig.Entry::searchers)
+                .map(ZonesConfig.Entry::origin).toList());
+        feed = new MemberFeed(group.next(), new Membership(Membership.Rules.DEFAULT, sources),
+                new LinkedHashSet<>(sources), System::currentTimeMillis, told::add, log::add,
+                left -> ZoneService.keepLeft(store, left));
+        Notifier notifier = new Notifier(group, group.next(), keys, System::currentTimeMillis, log::add);
+        ZoneService service = new ZoneService(config, store, group.next(), PeerLink.over(group), notifier,
+                System::currentTimeMillis, feed, log::add);
+        store.start().sync();
+        address = new DnsServer(group, service, maxConnections, idleMs, log::add)
+                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /** A bed of one zone that this text gives; whoever is on loopback may do all. */
+    public static ZoneBed of(String origin, String text) throws Exception {
+        Path folder = Files.createTempDirectory("zones");
+        ZoneBed bed = new ZoneBed(folder, List.of(primary(folder, origin, text, List.of(), ANY, List.of())), Map.of(),
+                64, 10_000);
+        bed.await(origin);
+        return bed;
+    }
+
+    static ZonesConfig.Entry primary(Path folder, String origin, String text, List<ZonesConfig.Peer> secondaries,
+            Acl update, List<Grant> grants) throws Exception {
+        Path file = Files.writeString(folder.resolve(origin + "zone"), text);
+        return new ZonesConfig.Entry(origin, file, List.of(), secondaries, ANY, ANY, update, grants, true, 100_000,
+                1_000_000);
+    }
+
+    static ZonesConfig.Entry secondary(String origin, List<ZonesConfig.Peer> primaries) {
+        return new ZonesConfig.Entry(origin, null, primaries, List.of(), ANY, ANY, Acl.NOBODY, List.of(), true,
+                100_000, 1_000_000);
+    }
+
+    SimpleResolver resolver(boolean tcp) throws Exception {
+        SimpleResolver resolver = new SimpleResolver(address);
+        resolver.setTCP(tcp);
+        resolver.setTimeout(java.time.Duration.ofSeconds(5));
+        resolver.setEDNS(-1);
+        return resolver;
+    }
+
+    Message ask(String name, int type) throws Exception {
+        return resolver(false).send(Message.newQuery(Record.newRecord(Name.fromString(name), type, 1)));
+    }
+
+    /** The serial that the bed answers with, or -1. */
+    long serial(String origin) throws Exception {
+        Message answer = ask(origin, Type.SOA);
+        List<Record> records = answer.getSection(1);
+        return records.isEmpty() ? -1 : ((org.xbill.DNS.SOARecord) records.get(0)).getSerial();
+    }
+
+    /** Waits until the zone answers. */
+    void await(String origin) throws Exception {
+        awaitSerial(origin, 0);
+    }
+
+    void awaitSerial(String origin, long least) throws Exception {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (serial(origin) < least) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError(origin + " has serial " + serial(origin) + ", not " + least + ": " + log);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    void awaitLog(String words) throws Exception {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (log.stream().noneMatch(l -> l.contains(words))) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("not logged: " + words + ": " + log);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        group.next().submit(() -> {
+            store.close();
+            return null;
+        }).sync();
+        group.shutdownGracefully(0, 1_000, java.util.concurrent.TimeUnit.MILLISECONDS).sync();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path f : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(f);
+            }
+        }
+    }
+}
