Replay zone updates against a running broker with stand-in searchers

Proof was missing that a drained searcher gets no part from 500 ms on, whichever way it left the zone. Scripts in text files are replayed under steady queries, straight to the daemon and through a primary that it follows; secondaries are tested against primaries that die, stall, and send serials that do not follow.

--- a/src/main/java/reeldeal/serve/ZoneDaemon.java
+++ b/src/main/java/reeldeal/serve/ZoneDaemon.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -54,14 +55,16 @@
     }
 
     /** Listens, and tells the broker of the searchers from now on. */
-    void start(Consumer<Event> to) throws Exception {
+    InetSocketAddress start(Consumer<Event> to) throws Exception {
         DnsServer server = new DnsServer(state, service, config.maxConnections(), config.idleMs(), Broker::log);
-        Broker.log("dns on " + server.start(config.listen()));
+        InetSocketAddress bound = server.start(config.listen());
+        Broker.log("dns on " + bound);
         state.next().submit(() -> {
             broker = to;
             early.forEach(to);
             early.clear();
         }).sync();
+        return bound;
     }
 
     /** What discovery tells is one source among others. */
--- a/src/test/java/reeldeal/zones/ZoneBed.java
+++ b/src/test/java/reeldeal/zones/ZoneBed.java
@@ -40,6 +40,11 @@
     /** A bed of these zones; files of zones may be given as text by {@link #primary}. */
     ZoneBed(Path folder, List<ZonesConfig.Entry> zones, Map<String, Tsig.Key> keys, int maxConnections, long idleMs)
             throws Exception {
+        this(folder, zones, keys, maxConnections, idleMs, 0);
+    }
+
+    ZoneBed(Path folder, List<ZonesConfig.Entry> zones, Map<String, Tsig.Key> keys, int maxConnections, long idleMs,
+            int port) throws Exception {
         this.folder = folder;
         store = new Store(group, new StoreConfig("a", "a", 1,
                 Map.of("a", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)), folder.resolve("state")),
@@ -55,7 +60,7 @@
                 System::currentTimeMillis, feed, log::add);
         store.start().sync();
         address = new DnsServer(group, service, maxConnections, idleMs, log::add)
-                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     }
 
     /** A bed of one zone that this text gives; whoever is on loopback may do all. */
@@ -67,6 +72,15 @@
         return bed;
     }
 
+    /** As {@link #of}, with a secondary that is told of changes. */
+    public static ZoneBed notifying(String origin, String text, InetSocketAddress secondary) throws Exception {
+        Path folder = Files.createTempDirectory("zones");
+        ZoneBed bed = new ZoneBed(folder, List.of(primary(folder, origin, text, List.of(new ZonesConfig.Peer(secondary,
+                null)), ANY, List.of())), Map.of(), 64, 10_000);
+        bed.await(origin);
+        return bed;
+    }
+
     static ZonesConfig.Entry primary(Path folder, String origin, String text, List<ZonesConfig.Peer> secondaries,
             Acl update, List<Grant> grants) throws Exception {
         Path file = Files.writeString(folder.resolve(origin + "zone"), text);
@@ -98,6 +112,14 @@
         return records.isEmpty() ? -1 : ((org.xbill.DNS.SOARecord) records.get(0)).getSerial();
     }
 
+    /** The changes since a serial, as an independent client reads them. */
+    List<?> ixfr(long serial) throws Exception {
+        org.xbill.DNS.ZoneTransferIn in = org.xbill.DNS.ZoneTransferIn.newIXFR(Name.fromString("fleet.test."), serial,
+                false, address, null);
+        in.run();
+        return in.getIXFR();
+    }
+
     /** Waits until the zone answers. */
     void await(String origin) throws Exception {
         awaitSerial(origin, 0);
