--- a/src/main/java/reeldeal/config/KeyFile.java
+++ b/src/main/java/reeldeal/config/KeyFile.java
@@ -30,9 +30,14 @@
 
     /** The key in a file. */
     public static Tsig.Key read(Path file) throws Invalid {
+        return read(file, true);
+    }
+
+    /** The key in a file, whose mode is looked at or not. */
+    static Tsig.Key read(Path file, boolean checkMode) throws Invalid {
         Map<String, String> values = new HashMap<>();
         try {
-            if (Files.getFileStore(file).supportsFileAttributeView("posix")) {
+            if (checkMode && Files.getFileStore(file).supportsFileAttributeView("posix")) {
                 Set<PosixFilePermission> others = EnumSet.copyOf(Files.getPosixFilePermissions(file));
                 others.removeAll(PosixFilePermissions.fromString("rwx------"));
                 if (!others.isEmpty()) {
--- a/src/main/java/reeldeal/config/StoreFile.java
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -45,16 +45,15 @@
             }
         }
         String node = text(values, "node");
-        String writer = text(values, "writer");
-        if (!nodes.containsKey(node) || !nodes.containsKey(writer)) {
-            throw new Invalid("store nodes: " + node + " or " + writer + " is not among them");
+        if (!nodes.containsKey(node)) {
+            throw new Invalid("store nodes: " + node + " is not among them");
         }
-        String term = text(values, "term");
-        if (!term.matches("[1-9][0-9]{0,17}")) {
-            throw new Invalid("store term: not a whole number above 0: " + term);
+        String joins = values.getOrDefault("joins", "false");
+        if (!joins.matches("true|false")) {
+            throw new Invalid("store joins: expected true or false, found " + joins);
         }
-        StoreConfig store = new StoreConfig(node, writer, Long.parseLong(term), nodes,
-                Path.of(text(values, "folder")));
+        // "writer" and "term" named a writer by hand before version 0.4; the group elects one now.
+        StoreConfig store = new StoreConfig(node, nodes, joins.equals("true"), Path.of(text(values, "folder")));
         return new StoreFile(store, values.keySet().stream().anyMatch(k -> k.startsWith("dns.")) ? ZonesFile.read(values)
                 : null);
     }
--- a/src/main/java/reeldeal/config/WordsFile.java
+++ b/src/main/java/reeldeal/config/WordsFile.java
@@ -10,7 +10,6 @@
 import java.util.Locale;
 import java.util.Map;
 import reeldeal.config.Config.Invalid;
-import reeldeal.dns.Names;
 import reeldeal.membership.Membership.Word;
 
 /** The operator's words on searchers: a JSON object of names, each with ready, draining or gone. */
@@ -33,12 +32,9 @@
                 String name = json.currentName();
                 json.nextToken();
                 String word = json.getText();
-                String parsed = Names.parse(name, ".");
-                if (parsed == null || !word.matches("ready|draining|gone")) {
+                if (name.isBlank() || !word.matches("ready|draining|gone")) {
                     throw new Invalid(file + ": " + name + ": expected ready, draining or gone, found " + word);
                 }
-                words.put(parsed, Word.valueOf(word.toUpperCase(Locale.ROOT)));
-                // Discovery's names are no domain names: the word holds for both forms.
                 words.put(name, Word.valueOf(word.toUpperCase(Locale.ROOT)));
             }
         }
--- a/src/main/java/reeldeal/config/ZonesFile.java
+++ b/src/main/java/reeldeal/config/ZonesFile.java
@@ -22,7 +22,7 @@
 
 /** The part {@code dns} of the store's file. */
 final class ZonesFile {
-    private static final Set<String> KNOWN = Set.of("listen", "origin", "zone_file", "key_files", "max_connections",
+    private static final Set<String> KNOWN = Set.of("listen", "origin", "zone_file", "key_files", "example_keys", "max_connections",
             "idle_ms", "words_file", "zones.count", "members.empty_grace_ms", "members.hold_ms",
             "members.gone_after_ms", "members.remember_ms", "members.flap_limit", "members.flap_reuse",
             "members.flap_half_life_ms");
@@ -37,7 +37,8 @@
         InetSocketAddress listen = StoreFile.loopback(values, "dns.listen");
         Map<String, Tsig.Key> keys = new LinkedHashMap<>();
         for (String file : list(values, "dns.key_files", "")) {
-            Tsig.Key key = KeyFile.read(Path.of(file));
+            // A checkout knows no modes: the example's keys, which are no secret, are read as they lie.
+            Tsig.Key key = KeyFile.read(Path.of(file), !flag(values, "dns.example_keys"));
             if (keys.put(key.name(), key) != null) {
                 throw new Invalid("store dns.key_files: " + key.name() + " is in two files");
             }
@@ -118,15 +119,12 @@
             throw new Invalid("store " + at + "file: expected either a file or primaries for " + origin);
         }
         List<Grant> grants = grants(values, at + "grants", origin, keys);
-        String searchers = values.getOrDefault(at + "searchers", "false");
-        if (!searchers.matches("true|false")) {
-            throw new Invalid("store " + at + "searchers: expected true or false, found " + searchers);
-        }
+        boolean searchers = flag(values, at + "searchers");
         return new ZonesConfig.Entry(origin, primaries.isEmpty() ? file(values, at + "file") : null, primaries,
                 peers(values, at + "notify", keys), acl(values, at + "allow_query", "any", keys),
                 acl(values, at + "allow_transfer", "loopback", keys), values.containsKey(at + "allow_update")
                         ? acl(values, at + "allow_update", "", keys) : defaultUpdate(keys, grants), grants,
-                searchers.equals("true"), (int) number(values, at + "journal_records", 100_000, 0, 10_000_000),
+                searchers, (int) number(values, at + "journal_records", 100_000, 0, 10_000_000),
                 (int) number(values, at + "max_records", 1_000_000, 1, 10_000_000));
     }
 
@@ -211,6 +209,14 @@
         return file;
     }
 
+    private static boolean flag(Map<String, String> values, String at) throws Invalid {
+        String value = values.getOrDefault(at, "false");
+        if (!value.matches("true|false")) {
+            throw new Invalid("store " + at + ": expected true or false, found " + value);
+        }
+        return value.equals("true");
+    }
+
     private static List<String> list(Map<String, String> values, String at, String otherwise) {
         String joined = values.getOrDefault(at, otherwise);
         return joined.isEmpty() ? List.of() : List.of(joined.split(","));
--- /dev/null
+++ b/src/main/java/reeldeal/consensus/Members.java
@@ -0,0 +1,69 @@
+package reeldeal.consensus;
+
+import java.util.Set;
+import java.util.TreeSet;
+
+/** A group's configuration: who votes, and who only receives the log (thesis, section 4.2.1). */
+public record Members(Set<String> voters, Set<String> learners) {
+
+    public Members {
+        voters = java.util.Collections.unmodifiableSet(new TreeSet<>(voters));
+        learners = java.util.Collections.unmodifiableSet(new TreeSet<>(learners));
+        if (voters.isEmpty()) {
+            throw new IllegalArgumentException("a group needs a voter");
+        }
+        if (voters.stream().anyMatch(learners::contains)) {
+            throw new IllegalArgumentException("a node that votes is no learner");
+        }
+    }
+
+    /** A group in which all of these vote. */
+    public static Members of(String... voters) {
+        return new Members(Set.of(voters), Set.of());
+    }
+
+    /** Everybody. */
+    Set<String> all() {
+        Set<String> all = new TreeSet<>(voters);
+        all.addAll(learners);
+        return all;
+    }
+
+    int majority() {
+        return voters.size() / 2 + 1;
+    }
+
+    /** Whether this follows the other by one voter at the most: majorities of the two then share a node. */
+    boolean oneStepFrom(Members other) {
+        long added = voters.stream().filter(v -> !other.voters.contains(v)).count();
+        long removed = other.voters.stream().filter(v -> !voters.contains(v)).count();
+        return added + removed <= 1;
+    }
+
+    /** With a learner more; a voter stays one. */
+    public Members withLearner(String node) {
+        Set<String> more = new TreeSet<>(learners);
+        if (!voters.contains(node)) {
+            more.add(node);
+        }
+        return new Members(voters, more);
+    }
+
+    /** With a voter more, who is no learner from then on. */
+    public Members withVoter(String node) {
+        Set<String> more = new TreeSet<>(voters);
+        more.add(node);
+        Set<String> less = new TreeSet<>(learners);
+        less.remove(node);
+        return new Members(more, less);
+    }
+
+    /** Without a node. */
+    public Members without(String node) {
+        Set<String> v = new TreeSet<>(voters);
+        v.remove(node);
+        Set<String> l = new TreeSet<>(learners);
+        l.remove(node);
+        return new Members(v, l);
+    }
+}
--- a/src/main/java/reeldeal/dns/Message.java
+++ b/src/main/java/reeldeal/dns/Message.java
@@ -16,6 +16,7 @@
     public static final int QUERY = 0;
     public static final int NOTIFY = 4;
     public static final int UPDATE = 5;
+    private static final int MAX_HOPS = 127;
     static final int QR = 0x8000;
     static final int AA = 0x0400;
     static final int TC = 0x0200;
@@ -247,6 +248,7 @@
         int behind = -1;
         int lowest = at;
         int length = 1;
+        int hops = 0;
         while (true) {
             need(i, 1, bytes.length);
             int label = bytes[i] & 0xff;
@@ -257,7 +259,8 @@
                 need(i, 2, bytes.length);
                 int target = (label & 0x3f) << 8 | bytes[i + 1] & 0xff;
                 behind = behind < 0 ? i + 2 : behind;
-                if (!pointers || target < HEADER || target >= lowest) {
+                // A name has 127 labels at most: a longer chain of pointers only costs time.
+                if (!pointers || target < HEADER || target >= lowest || ++hops > MAX_HOPS) {
                     throw new Malformed("a pointer that leads nowhere");
                 }
                 lowest = target;
--- a/src/main/java/reeldeal/membership/MemberFeed.java
+++ b/src/main/java/reeldeal/membership/MemberFeed.java
@@ -26,6 +26,8 @@
     /** The name of discovery among the sources. */
     public static final String DISCOVERY = "discovery";
 
+    private static final int AWAIT_MS = 2_000;
+
     private final ScheduledExecutorService loop;
     private final Membership membership;
     private final LongSupplier now;
@@ -36,6 +38,7 @@
     private final Map<String, Claim> discovered = new LinkedHashMap<>();
     private final Set<String> awaited;
     private boolean begun;
+    private boolean waiting;
     private long planned = Long.MAX_VALUE;
     private String saved = "";
 
@@ -113,6 +116,10 @@
     private void pass() {
         membership.takeLog().forEach(line -> log.accept("members: " + line));
         if (!awaited.isEmpty()) {
+            if (!waiting) {
+                waiting = true;
+                loop.schedule(this::waitNoLonger, AWAIT_MS, TimeUnit.MILLISECONDS);
+            }
             return;
         }
         List<Searcher> changes = membership.takeChanges();
@@ -136,6 +143,15 @@
         plan();
     }
 
+    /** One source that does not speak must not keep the searchers of the others from being known. */
+    private void waitNoLonger() {
+        if (!awaited.isEmpty()) {
+            log.accept("members: no word from " + awaited + "; going on without");
+            awaited.clear();
+            pass();
+        }
+    }
+
     private void plan() {
         long due = membership.due();
         if (due < planned && due < Long.MAX_VALUE) {
--- a/src/main/java/reeldeal/membership/Membership.java
+++ b/src/main/java/reeldeal/membership/Membership.java
@@ -257,7 +257,6 @@
         }
         Set<String> names = new TreeSet<>(members.keySet());
         names.addAll(findings.keySet());
-        names.addAll(words.keySet());
         List<String> damped = new ArrayList<>();
         for (String name : names) {
             Member m = members.computeIfAbsent(name, n -> new Member());
@@ -369,9 +368,15 @@
                 c.priority(), c.weight(), c.cells(), c.zone(), c.kind(), c.startedMs(), c.size(), listed, false);
     }
 
+    /** The operator's word on a name, which may be written without its last dot. */
+    private Word word(String name) {
+        Word word = words.get(name);
+        return word != null || !name.endsWith(".") ? word : words.get(name.substring(0, name.length() - 1));
+    }
+
     /** What is told of one name. */
     private void settle(long now, String name, Member m, List<Finding> found) {
-        Word word = words.get(name);
+        Word word = word(name);
         boolean lost = lost(now, m, found);
         Finding first = null;
         Finding drains = null;
@@ -491,7 +496,7 @@
             }
             return;
         }
-        boolean barred = words.get(name) == Word.GONE;
+        boolean barred = word(name) == Word.GONE;
         if (m.told.listed() == Listed.READY && !lost) {
             left(now, m, barred ? Integer.MAX_VALUE : m.soundRank);
         } else if (m.leftAt < 0) {
@@ -545,7 +550,7 @@
             source.sets.values().forEach(s -> s.claims.forEach(c -> claimed.add(c.name())));
         }
         members.entrySet().removeIf(e -> e.getValue().told == null && !claimed.contains(e.getKey())
-                && !words.containsKey(e.getKey()) && now - e.getValue().leftAt >= rules.rememberMs());
+                && now - e.getValue().leftAt >= rules.rememberMs());
         while (members.size() > MAX_LEFT) {
             String oldest = members.entrySet().stream().filter(e -> e.getValue().told == null
                     && !claimed.contains(e.getKey())).min(Comparator.comparingLong(e -> e.getValue().leftAt))
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -120,8 +120,11 @@
 
     /** Has the store keep this configuration, once this node writes. */
     private static void keep(EventLoopGroup group, Store store, String text) {
+        boolean[] done = {false}; // once: what another node keeps later is not to be undone by this file
         group.next().execute(() -> store.whenWriting(() -> {
-            if (!text.equals(store.get(CONFIG_KEY))) {
+            boolean first = !done[0];
+            done[0] = true;
+            if (first && !text.equals(store.get(CONFIG_KEY))) {
                 store.write(List.of(new Change(CONFIG_KEY, text)),
                         result -> Broker.log("store: configuration kept: " + result));
             }
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -13,38 +13,42 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import reeldeal.consensus.Entry;
+import reeldeal.consensus.Members;
+import reeldeal.consensus.Msg;
+import reeldeal.consensus.Output;
+import reeldeal.consensus.Raft;
 import reeldeal.frames.FrameBuffer;
+import reeldeal.storage.Folder;
 
 /**
- * A small replicated store: a versioned log that one configured writer extends.
- *
- * <p>The rule: a write is committed once a majority of the nodes has it on disk, and only then is it told and
- * read; every node tells the same writes in the same order, a follower perhaps later. A writer begins by
- * taking over the longest log of the highest term among a majority, so that no committed write is lost; a
- * node that has promised a term to a writer takes nothing from an earlier one. Without a majority nothing is
- * written, and reading goes on.
+ * A node of a small replicated store: wires {@link Raft}, {@link Folder} and {@link State} to sockets, a thread
+ * for the disk and a loop for all else. A write is committed once a majority of the voters has it on disk; it is
+ * told here once it is on this node's disk too, so that a node never forgets what it told. All calls belong on
+ * the loop.
  */
 public final class Store implements AutoCloseable {
+    private static final int TICK_MS = 50;
     private static final int RETRY_MS = 100;
     private static final int WRITE_TIMEOUT_MS = 2_000;
-    private static final int BATCH_BYTES = 512 * 1024;
-    private static final int MAX_FRAME = 2 * 1024 * 1024;
+    private static final int MAX_FRAME = 4 * 1024 * 1024;
     private static final int MAX_WRITES = 1_000;
+    private static final int MAX_COMMAND = 512 * 1024;
+    private static final int SEGMENT_BYTES = 4 << 20;
+    private static final long COMPACT_BYTES = 16 << 20;
+    private static final long UNSENT_BYTES = 8 << 20;
 
     /** What came of a write. */
     public sealed interface Result { }
@@ -52,281 +56,430 @@
     /** It is committed. */
     public record Committed(long version) implements Result { }
 
-    /** It was not begun, and will not happen. */
+    /** It did not happen, and will not. */
     public record Rejected(String why) implements Result { }
 
     /** It was begun, but no majority has it in time: it may yet be committed. */
     public record Unknown() implements Result { }
 
+    private static final class Pending {
+        final long term;
+        final List<Change> changes;
+        Consumer<Result> then;
+
+        Pending(long term, List<Change> changes, Consumer<Result> then) {
+            this.term = term;
+            this.changes = changes;
+            this.then = then;
+        }
+    }
+
     private final EventLoopGroup group;
     private final StoreConfig config;
     private final Consumer<String> log;
-    private final LogFile file;
-    private final NavigableMap<String, String> state = new TreeMap<>();
+    private final Folder folder;
+    private final Raft raft;
+    private State state;
+    private final ExecutorService disk;
+    private final ExecutorService background;
+    private final List<Output.Persist> queued = new ArrayList<>();
+    private boolean diskBusy;
+    private boolean diskFailed;
+    private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
+    private final TreeMap<Long, Pending> writes = new TreeMap<>();
+    private final Map<String, Link> links = new HashMap<>();
+    private final List<Channel> accepted = new ArrayList<>();
     private final List<Consumer<List<Change>>> listeners = new ArrayList<>();
     private final List<Runnable> whenWriting = new ArrayList<>();
     private final List<Runnable> whenCurrent = new ArrayList<>();
-    private final Map<String, Peer> peers = new LinkedHashMap<>();
-    private final Map<Long, Consumer<Result>> writes = new HashMap<>();
-    private final List<Channel> accepted = new ArrayList<>();
     private Channel listener;
-    private long committed;
-    private boolean leading;
+    private long logBytes;
+    private boolean compacting;
+    private boolean writer;
     private boolean current;
     private boolean closed;
+    private boolean stepping;
 
-    /** Opens the node's log; throws where its folder cannot be used. */
+    /** Opens the node's folder; throws where it cannot be used. */
     public Store(EventLoopGroup group, StoreConfig config, Consumer<String> log) throws IOException {
         this.group = group;
         this.config = config;
         this.log = log;
-        this.file = new LogFile(config.folder());
-        if (file.cutBytes() > 0) {
-            log.accept("store: cut a torn write of " + file.cutBytes() + " bytes after version "
-                    + file.lastVersion());
-        }
+        Upgrade.run(config.folder(), config.node(), log);
+        // A node that joins votes only once the group has taken it in.
+        Members first = new Members(config.joins() ? others(config) : config.nodes().keySet(), java.util.Set.of());
+        folder = Folder.open(config.folder(), config.node(), first, SEGMENT_BYTES);
+        Raft.OnDisk onDisk = folder.opened().state();
+        if (folder.opened().cutBytes() > 0) {
+            log.accept("store: cut a torn write of " + folder.opened().cutBytes() + " bytes after version "
+                    + (onDisk.snapshot().index() + onDisk.entries().size()));
+        }
+        state = State.fromBytes(onDisk.snapshot().data());
+        raft = new Raft(config.node(), Raft.Settings.DEFAULT, onDisk, new SplittableRandom()::nextInt);
+        logBytes = folder.size()[0];
+        disk = Executors.newSingleThreadExecutor(run -> thread(run, "store-disk"));
+        background = Executors.newSingleThreadExecutor(run -> thread(run, "store-snapshot"));
+    }
+
+    private static java.util.Set<String> others(StoreConfig config) {
+        java.util.Set<String> others = new java.util.TreeSet<>(config.nodes().keySet());
+        others.remove(config.node());
+        return others;
+    }
+
+    private static Thread thread(Runnable run, String name) {
+        Thread thread = new Thread(run, name);
+        thread.setDaemon(true);
+        return thread;
     }
 
-    /** Listens for the writer, or becomes it. */
+    /** Listens and takes part in the group. */
     public ChannelFuture start() {
         ChannelFuture bound = new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new Follower());
+                        channel.pipeline().addLast(new Incoming());
                     }
                 }).bind(config.nodes().get(config.node()));
         listener = bound.channel();
         bound.addListener(f -> {
-            if (f.isSuccess() && config.writer().equals(config.node())) {
+            if (f.isSuccess() && !closed) {
                 begin();
             }
         });
         return bound;
     }
 
+    private void begin() {
+        List<Change> all = new ArrayList<>();
+        state.under("").forEach((k, v) -> all.add(new Change(k, v.text())));
+        if (!all.isEmpty()) {
+            listeners.forEach(l -> l.accept(all));
+        }
+        config.nodes().forEach((name, address) -> {
+            if (!name.equals(config.node())) {
+                links.put(name, new Link(name));
+            }
+        });
+        if (raft.members().voters().equals(java.util.Set.of(config.node()))) {
+            raft.standNow(); // nobody else could
+        }
+        step();
+        group.next().scheduleAtFixedRate(() -> {
+            if (!closed && !diskFailed) {
+                raft.tick();
+                step();
+            }
+        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- reading ----
+
     /** A committed value, or null. */
     public String get(String key) {
-        return state.get(key);
+        State.Value value = state.get(key);
+        return value == null ? null : value.text();
     }
 
-    /** The committed values whose keys begin so. */
-    public Map<String, String> under(String prefix) {
-        return new TreeMap<>(state.subMap(prefix, true, prefix + Character.MAX_VALUE, false));
+    /** The version that wrote a key, 0 where it is not there. */
+    public long versionOf(String key) {
+        State.Value value = state.get(key);
+        return value == null ? 0 : value.version();
     }
 
     /** The first keys that begin so, {@code most} at the most. */
     public List<String> keysUnder(String prefix, int most) {
-        return state.subMap(prefix, true, prefix + Character.MAX_VALUE, false).keySet().stream().limit(most).toList();
+        return state.under(prefix).keySet().stream().limit(most).toList();
     }
 
-    /** Whether all that was committed when the writer last spoke, or that this writer took over, has been told. */
-    public boolean isCurrent() {
-        return current;
-    }
-
-    /** Runs this each time that the node has become current. */
-    public void whenCurrent(Runnable run) {
-        whenCurrent.add(run);
-    }
-
-    private void current(boolean now) {
-        boolean became = now && !current;
-        current = now;
-        if (became) {
-            whenCurrent.forEach(Runnable::run);
-        }
+    /** The version up to which this node has told the log. */
+    public long version() {
+        return state.version();
     }
 
-    /** The version up to which this node knows the log to be committed. */
-    public long version() {
-        return committed;
+    /** What was written after a version, or null where only the values themselves are known any more. */
+    public List<State.Written> since(long version) {
+        return state.since(version);
     }
 
-    /** Tells of each committed write from now on. */
-    public void onChange(Consumer<List<Change>> listener) {
-        listeners.add(listener);
+    /** Tells of each committed write from now on; after a snapshot, of all that it changed, at once. */
+    public void onChange(Consumer<List<Change>> told) {
+        listeners.add(told);
     }
 
-    /** Runs this once writes are taken here and all that was committed before is known; maybe never. */
+    /** Runs this each time that writes begin to be taken here, all that was committed before being known. */
     public void whenWriting(Runnable run) {
-        if (leading && file.termAt(committed) == config.term()) {
+        whenWriting.add(run);
+        if (writer) {
             run.run();
-        } else {
-            whenWriting.add(run);
         }
     }
 
     /** Whether writes are taken here now. */
     public boolean isWriter() {
-        return leading;
+        return writer;
+    }
+
+    /** Whether all that was committed when the leader last spoke has been told. */
+    public boolean isCurrent() {
+        return current;
     }
 
+    /** Runs this each time that the node has become current. */
+    public void whenCurrent(Runnable run) {
+        whenCurrent.add(run);
+    }
+
+    /** Who leads, as far as is known, or null. */
+    public String leader() {
+        return raft.leader();
+    }
+
+    /** The group as this node knows it. */
+    public Members members() {
+        return raft.members();
+    }
+
+    // ---- writing ----
+
     /** Writes changes that happen together or not at all. */
     public void write(List<Change> changes, Consumer<Result> then) {
-        Entry entry = new Entry(config.term(), file.lastVersion() + 1, List.copyOf(changes));
-        int size = entry.toBytes().length;
-        if (!leading) {
-            then.accept(new Rejected(config.writer().equals(config.node()) ? "no majority has answered yet"
-                    : "the writer is " + config.writer()));
-        } else if (size > Entry.MAX_BYTES || changes.stream().anyMatch(c -> c.key().length() > Entry.MAX_KEY / 4)) {
+        write(State.Command.of(changes), then);
+    }
+
+    /** Writes on conditions, or once for each number of a session. */
+    public void write(State.Command command, Consumer<Result> then) {
+        byte[] data = State.encode(command);
+        if (!writer) {
+            then.accept(new Rejected(raft.leader() == null ? "no majority has answered yet"
+                    : "the writer is " + raft.leader()));
+        } else if (data.length > MAX_COMMAND) {
             then.accept(new Rejected("the write is too large"));
-        } else if (!file.hasRoom(size) || writes.size() >= MAX_WRITES) {
-            then.accept(new Rejected("the log is full"));
+        } else if (writes.size() >= MAX_WRITES) {
+            then.accept(new Rejected("too many writes are waiting"));
         } else {
-            try {
-                file.append(List.of(entry));
-            } catch (IOException e) {
-                // What is on disk is not known: this node writes no more until it is started again.
-                leading = false;
-                then.accept(new Unknown());
-                log.accept("store: " + e.getMessage());
+            long index = raft.propose(data);
+            if (index < 0) {
+                then.accept(new Rejected("leadership is being handed over"));
                 return;
             }
-            writes.put(entry.version(), then);
-            group.next().schedule(() -> {
-                Consumer<Result> waiting = writes.remove(entry.version());
-                if (waiting != null) {
-                    waiting.accept(new Unknown());
-                }
-            }, WRITE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-            peers.values().forEach(Peer::send);
-            countAcks();
+            Pending pending = new Pending(raft.term(), command.changes(), then);
+            writes.put(index, pending);
+            group.next().schedule(() -> unknown(pending), WRITE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            step();
         }
     }
 
-    @Override
-    public void close() throws IOException {
-        closed = true;
-        leading = false;
-        if (listener != null) {
-            listener.close();
+    private void unknown(Pending pending) {
+        Consumer<Result> then = pending.then;
+        pending.then = null;
+        if (then != null) {
+            then.accept(new Unknown());
         }
-        List.copyOf(accepted).forEach(Channel::close);
-        peers.values().forEach(p -> p.channel.close());
-        file.close();
     }
 
-    // ---- committed writes ----
+    /** Proposes other members; true where this node could. */
+    public boolean change(Members fresh) {
+        boolean begun = raft.change(fresh) >= 0;
+        step();
+        return begun;
+    }
+
+    /** Hands leadership over. */
+    public boolean transfer(String to) {
+        boolean begun = raft.transfer(to);
+        step();
+        return begun;
+    }
 
-    private void commitUpTo(long version) {
-        long upTo = Math.min(version, file.lastVersion());
-        while (committed < upTo) {
-            Entry entry = file.entry(++committed);
-            for (Change change : entry.changes()) {
-                if (change.value() == null) {
-                    state.remove(change.key());
-                } else {
-                    state.put(change.key(), change.value());
+    // ---- what the module asks for ----
+
+    private void step() {
+        if (stepping || closed || diskFailed) {
+            return; // the one that runs goes on until there is nothing more
+        }
+        stepping = true;
+        for (boolean more = true; more && !closed;) {
+            Output out = raft.take();
+            more = !out.persists.isEmpty() || !out.messages.isEmpty() || out.install() != null || !out.committed.isEmpty();
+            out.notes.forEach(n -> log.accept("store: " + n));
+            queued.addAll(out.persists);
+            flush();
+            out.messages.forEach(m -> {
+                Link link = links.get(m.to());
+                if (link != null) {
+                    link.send(m);
                 }
+            });
+            if (out.install() != null) {
+                install(out.install().data());
             }
-            Consumer<Result> waiting = writes.remove(committed);
-            if (!entry.changes().isEmpty()) {
-                listeners.forEach(l -> l.accept(entry.changes()));
-            }
-            if (waiting != null) {
-                waiting.accept(new Committed(committed));
-            }
+            waiting.addAll(out.committed);
+            apply();
+            roles();
         }
+        stepping = false;
     }
 
-    // ---- the writer ----
-
-    private void begin() {
-        try {
-            if (!file.promise(config.term(), config.node())) {
-                log.accept("store: term " + config.term() + " is past; this node stays a follower");
-                return;
-            }
-        } catch (IOException e) {
-            log.accept("store: " + e.getMessage());
+    private void flush() {
+        if (diskBusy || queued.isEmpty()) {
             return;
         }
-        config.nodes().forEach((name, address) -> {
-            if (!name.equals(config.node())) {
-                Peer peer = new Peer(name);
-                peers.put(name, peer);
-                peer.connect();
+        diskBusy = true;
+        List<Output.Persist> batch = List.copyOf(queued); // all that came while the last was written: one flush
+        queued.clear();
+        disk.execute(() -> {
+            try {
+                folder.write(batch);
+                long bytes = folder.size()[0];
+                group.next().execute(() -> {
+                    diskBusy = false;
+                    logBytes = bytes;
+                    raft.persisted(batch.get(batch.size() - 1).number());
+                    step();
+                    flush();
+                });
+            } catch (IOException | RuntimeException e) {
+                group.next().execute(() -> failDisk(e));
             }
         });
-        tryLead();
     }
 
-    /** Leads once a majority has promised this term and the best log among them is taken over. */
-    private void tryLead() {
-        if (leading || closed || 1 + peers.values().stream().filter(p -> p.promised).count() < config.majority()) {
-            return;
-        }
-        Peer best = null;
-        for (Peer p : peers.values()) {
-            boolean better = p.promised && (p.lastTerm > (best == null ? file.lastTerm() : best.lastTerm)
-                    || p.lastTerm == (best == null ? file.lastTerm() : best.lastTerm)
-                    && p.lastVersion > (best == null ? file.lastVersion() : best.lastVersion));
-            best = better ? p : best;
-        }
-        if (best != null) {
-            best.fetch();
+    /** What is on disk is not known: this node takes no part any more, and goes on telling what it has. */
+    private void failDisk(Exception e) {
+        if (closed) {
             return;
         }
+        diskFailed = true;
+        writer = false;
+        current = false;
+        log.accept("store: " + e.getMessage() + "; this node reads on and writes no more until it is started again");
+        abandon();
+    }
+
+    private void abandon() {
+        List<Pending> left = List.copyOf(writes.values());
+        writes.clear();
+        left.forEach(this::unknown);
+    }
+
+    private void install(byte[] bytes) {
+        waiting.clear();
         try {
-            // An entry of its own term lets the writer count the majority for all that came before.
-            file.append(List.of(new Entry(config.term(), file.lastVersion() + 1, List.of())));
+            State fresh = State.fromBytes(bytes);
+            List<Change> changes = new ArrayList<>();
+            state.under("").forEach((k, v) -> {
+                if (fresh.get(k) == null) {
+                    changes.add(new Change(k, null));
+                }
+            });
+            fresh.under("").forEach((k, v) -> {
+                if (!v.equals(state.get(k))) {
+                    changes.add(new Change(k, v.text()));
+                }
+            });
+            state = fresh;
+            log.accept("store: took a snapshot of version " + state.version() + ", " + bytes.length + " bytes");
+            listeners.forEach(l -> l.accept(changes));
         } catch (IOException e) {
-            log.accept("store: " + e.getMessage());
-            return;
+            failDisk(e);
         }
-        leading = true;
-        log.accept("store: " + config.node() + " writes under term " + config.term());
-        peers.values().forEach(Peer::send);
-        countAcks();
     }
 
-    private void takeOver(List<Entry> others) throws IOException {
-        int same = 0;
-        while (same < others.size() && same < file.lastVersion()
-                && file.termAt(same + 1) == others.get(same).term()) {
-            same++;
+    private void apply() {
+        while (!waiting.isEmpty() && waiting.peek().index() <= raft.durableIndex()) {
+            Entry entry = waiting.poll();
+            if (entry.index() <= state.version()) {
+                continue;
+            }
+            Pending pending = writes.remove(entry.index());
+            boolean ours = pending != null && pending.term == entry.term();
+            List<Change> changed = new ArrayList<>();
+            State.Outcome outcome = state.apply(entry.index(), entry.data(), changed);
+            if (!changed.isEmpty()) {
+                List<Change> told = ours ? pending.changes : List.copyOf(changed);
+                listeners.forEach(l -> l.accept(told));
+            }
+            if (pending != null && pending.then != null) {
+                Consumer<Result> then = pending.then;
+                pending.then = null;
+                then.accept(!ours ? new Unknown() : outcome.done() ? new Committed(outcome.version())
+                        : new Rejected(outcome.refusal()));
+            }
         }
-        if (same < others.size()) {
-            file.truncateAfter(same);
-            file.append(others.subList(same, others.size()));
+        if (logBytes > COMPACT_BYTES && !compacting && state.version() > raft.snapshotIndex()) {
+            compact();
         }
     }
 
-    private void countAcks() {
-        for (long v = file.lastVersion(); v > committed && file.termAt(v) == config.term(); v--) {
-            long version = v;
-            if (leading && 1 + peers.values().stream().filter(p -> p.acked >= version).count()
-                    >= config.majority()) {
-                commitUpTo(version);
-                current(true);
-                peers.values().forEach(Peer::send);
-                List<Runnable> ready = List.copyOf(whenWriting);
-                whenWriting.clear();
-                ready.forEach(Runnable::run);
-                return;
-            }
+    /** The state is taken as it is now, at once; its bytes are made elsewhere. */
+    private void compact() {
+        compacting = true;
+        State.Frozen frozen = state.freeze();
+        background.execute(() -> {
+            byte[] bytes = frozen.toBytes();
+            group.next().execute(() -> {
+                compacting = false;
+                if (!closed && !diskFailed) {
+                    raft.compact(frozen.version(), bytes);
+                    logBytes = 0;
+                    step();
+                }
+            });
+        });
+    }
+
+    private void roles() {
+        boolean leads = raft.role() == Raft.Role.LEADER && raft.leadsSurely() && waiting.isEmpty();
+        if (raft.role() != Raft.Role.LEADER && !writes.isEmpty()) {
+            abandon();
+        }
+        boolean began = leads && !writer;
+        writer = raft.role() == Raft.Role.LEADER && (writer || leads);
+        boolean now = raft.isCurrent() && (writer || waiting.isEmpty());
+        boolean became = now && !current;
+        current = now;
+        if (became) {
+            whenCurrent.forEach(Runnable::run);
+        }
+        if (began) {
+            log.accept("store: " + config.node() + " writes under term " + raft.term());
+            whenWriting.forEach(Runnable::run);
         }
     }
 
-    /** The writer's side of a connection to another node. */
-    private final class Peer extends ChannelInboundHandlerAdapter {
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        writer = false;
+        if (listener != null) {
+            listener.close();
+        }
+        List.copyOf(accepted).forEach(Channel::close);
+        links.values().forEach(Link::close);
+        disk.shutdown();
+        background.shutdown();
+        try {
+            disk.awaitTermination(5, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        folder.close();
+    }
+
+    // ---- the other nodes ----
+
+    /** Messages to one node; what cannot be sent is lost, as on any network. */
+    private final class Link extends ChannelInboundHandlerAdapter {
         private final String name;
-        private FrameBuffer frames;
         private Channel channel;
-        private final List<Entry> fetched = new ArrayList<>();
-        private boolean promised;
-        private boolean fetching;
-        private boolean waiting;
-        private long lastTerm;
-        private long lastVersion;
-        private long next = 1;
-        private long acked;
-        private long toldCommit = -1;
-
-        Peer(String name) {
+        private boolean up;
+
+        Link(String name) {
             this.name = name;
+            connect();
         }
 
         @Override
@@ -334,115 +487,51 @@
             return true; // one connection after another
         }
 
-        void connect() {
+        private void connect() {
             if (closed) {
                 return;
             }
-            promised = fetching = waiting = false;
-            acked = 0;
-            toldCommit = -1;
-            frames = new FrameBuffer(4, MAX_FRAME);
             ChannelFuture connecting = new Bootstrap().group(group).channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000).option(ChannelOption.TCP_NODELAY, true)
                     .handler(this).connect(config.nodes().get(name));
             channel = connecting.channel();
             connecting.addListener(f -> {
-                if (f.isSuccess() && connecting.channel().localAddress()
-                        .equals(connecting.channel().remoteAddress())) {
-                    // On loopback a connect to a port nobody listens on can meet itself.
-                    connecting.channel().close();
-                } else if (f.isSuccess()) {
-                    write(connecting.channel(), 'H', out -> {
-                        out.writeLong(config.term());
-                        out.writeUTF(config.node());
-                    });
+                if (f.isSuccess() && channel.localAddress().equals(channel.remoteAddress())) {
+                    channel.close(); // on loopback a connect to a port nobody listens on can meet itself
+                } else {
+                    up = f.isSuccess();
                 }
             });
-            channel.closeFuture().addListener(f -> group.next().schedule(this::connect, RETRY_MS,
-                    TimeUnit.MILLISECONDS));
+            channel.closeFuture().addListener(f -> {
+                up = false;
+                group.next().schedule(this::connect, RETRY_MS, TimeUnit.MILLISECONDS);
+            });
         }
 
-        void fetch() {
-            if (!fetching) {
-                fetching = true;
-                fetched.clear();
-                write(channel, 'F', out -> out.writeLong(1));
+        void send(Msg m) {
+            var unsent = channel.unsafe().outboundBuffer();
+            if (up && (unsent == null || unsent.totalPendingWriteBytes() < UNSENT_BYTES)) {
+                byte[] bytes = Wire.write(m);
+                channel.writeAndFlush(Unpooled.buffer(4 + bytes.length).writeInt(bytes.length).writeBytes(bytes));
             }
         }
 
-        /** Sends what this node lacks, one frame at a time. */
-        void send() {
-            if (!leading || !promised || waiting || next > file.lastVersion() && toldCommit == committed) {
-                return;
-            }
-            waiting = true;
-            toldCommit = committed;
-            write(channel, 'A', out -> {
-                out.writeLong(config.term());
-                out.writeLong(file.termAt(next - 1));
-                out.writeLong(next - 1);
-                out.writeLong(committed);
-                writeEntries(out, next);
-            });
+        void close() {
+            channel.close();
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) throws IOException {
-            frames.feed((ByteBuf) message);
-            for (byte[] f = frames.next(); f != null; f = frames.next()) {
-                DataInputStream in = new DataInputStream(new ByteArrayInputStream(f));
-                switch (in.readByte()) {
-                    case 'S' -> {
-                        lastTerm = in.readLong();
-                        lastVersion = in.readLong();
-                        promised = true;
-                        waiting = false;
-                        next = Math.max(1, Math.min(file.lastVersion(), lastVersion) + 1);
-                        tryLead();
-                        send();
-                    }
-                    case 'R' -> {
-                        List<Entry> more = readEntries(in);
-                        fetched.addAll(more);
-                        if (fetched.size() < lastVersion && !more.isEmpty()) {
-                            write(channel, 'F', out -> out.writeLong(fetched.size() + 1));
-                        } else if (!leading) {
-                            fetching = false;
-                            takeOver(fetched);
-                            tryLead();
-                        }
-                    }
-                    case 'K' -> {
-                        waiting = false;
-                        acked = in.readLong();
-                        next = acked + 1;
-                        countAcks();
-                        send();
-                    }
-                    case 'N' -> {
-                        log.accept("store: " + name + " has promised term " + in.readLong()
-                                + "; this node writes no more");
-                        leading = false;
-                        ctx.close();
-                    }
-                    default -> ctx.close();
-                }
-            }
-            if (frames.malformed()) {
-                ctx.close();
-            }
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ((ByteBuf) message).release(); // nothing is said on this side
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.accept("store: " + name + ": " + cause);
             ctx.close();
         }
     }
 
-    // ---- a follower ----
-
-    private final class Follower extends ChannelInboundHandlerAdapter {
+    private final class Incoming extends ChannelInboundHandlerAdapter {
         private final FrameBuffer frames = new FrameBuffer(4, MAX_FRAME);
 
         @Override
@@ -458,16 +547,11 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws IOException {
             frames.feed((ByteBuf) message);
-            for (byte[] f = frames.next(); f != null && !closed; f = frames.next()) {
-                DataInputStream in = new DataInputStream(new ByteArrayInputStream(f));
-                switch (in.readByte()) {
-                    case 'H' -> hello(ctx.channel(), in.readLong(), in.readUTF());
-                    case 'F' -> {
-                        long from = Math.max(1, in.readLong());
-                        write(ctx.channel(), 'R', out -> writeEntries(out, from));
-                    }
-                    case 'A' -> append(ctx.channel(), in);
-                    default -> ctx.close();
+            for (byte[] f = frames.next(); f != null && !closed && !diskFailed; f = frames.next()) {
+                Msg m = Wire.read(f);
+                if (m.to().equals(config.node()) && config.nodes().containsKey(m.from())) {
+                    raft.receive(m);
+                    step();
                 }
             }
             if (frames.malformed()) {
@@ -475,111 +559,10 @@
             }
         }
 
-        private void hello(Channel channel, long term, String writer) throws IOException {
-            if (file.promise(term, writer)) {
-                leading &= term == config.term();
-                state(channel, file.lastVersion());
-            } else {
-                write(channel, 'N', out -> out.writeLong(file.promisedTerm()));
-            }
-        }
-
-        private void state(Channel channel, long version) {
-            write(channel, 'S', out -> {
-                out.writeLong(file.termAt(version));
-                out.writeLong(version);
-            });
-        }
-
-        private void append(Channel channel, DataInputStream in) throws IOException {
-            long term = in.readLong();
-            long beforeTerm = in.readLong();
-            long before = in.readLong();
-            long commit = in.readLong();
-            List<Entry> more = readEntries(in);
-            if (term != file.promisedTerm()) {
-                write(channel, 'N', out -> out.writeLong(file.promisedTerm()));
-                return;
-            }
-            if (before > file.lastVersion() || file.termAt(before) != beforeTerm) {
-                // The logs differ before this point: the writer goes further back, never behind what is committed.
-                state(channel, Math.max(committed, Math.min(before - 1, file.lastVersion())));
-                return;
-            }
-            int same = 0;
-            while (same < more.size() && before + same < file.lastVersion()
-                    && file.termAt(before + same + 1) == more.get(same).term()) {
-                same++;
-            }
-            if (same < more.size()) {
-                if (before + same < committed) {
-                    throw new IOException("a writer would undo what is committed");
-                }
-                file.truncateAfter(before + same);
-                file.append(more.subList(same, more.size()));
-            }
-            long last = before + more.size();
-            commitUpTo(Math.min(commit, last));
-            current(committed >= commit);
-            write(channel, 'K', out -> out.writeLong(last));
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             log.accept("store: " + cause);
             ctx.close();
         }
     }
-
-    // ---- frames ----
-
-    private interface Body {
-        void to(DataOutputStream out) throws IOException;
-    }
-
-    private static void write(Channel channel, char letter, Body body) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        DataOutputStream out = new DataOutputStream(bytes);
-        try {
-            out.writeByte(letter);
-            body.to(out);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // memory does not fail
-        }
-        channel.writeAndFlush(Unpooled.buffer(4 + bytes.size()).writeInt(bytes.size())
-                .writeBytes(bytes.toByteArray()));
-    }
-
-    /** Writes entries from this version on, as many as a frame should hold. */
-    private void writeEntries(DataOutputStream out, long from) throws IOException {
-        List<byte[]> entries = new ArrayList<>();
-        int size = 0;
-        for (long v = from; v <= file.lastVersion() && size < BATCH_BYTES; v++) {
-            byte[] bytes = file.entry(v).toBytes();
-            entries.add(bytes);
-            size += bytes.length;
-        }
-        out.writeInt(entries.size());
-        for (byte[] entry : entries) {
-            out.writeInt(entry.length);
-            out.write(entry);
-        }
-    }
-
-    private static List<Entry> readEntries(DataInputStream in) throws IOException {
-        int count = in.readInt();
-        List<Entry> entries = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            int length = in.readInt();
-            if (length < 0 || length > Entry.MAX_BYTES || length > in.available()) {
-                throw new IOException("impossible length of an entry: " + length);
-            }
-            Entry entry = Entry.fromBytes(in.readNBytes(length));
-            if (i > 0 && entry.version() != entries.get(i - 1).version() + 1) {
-                throw new IOException("entries out of order");
-            }
-            entries.add(entry);
-        }
-        return entries;
-    }
 }
--- a/src/main/java/reeldeal/store/StoreConfig.java
+++ b/src/main/java/reeldeal/store/StoreConfig.java
@@ -4,11 +4,9 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** A node of the store: its name, who writes under which term, where all nodes listen, and its folder. */
-public record StoreConfig(String node, String writer, long term, Map<String, InetSocketAddress> nodes,
-        Path folder) {
-
-    int majority() {
-        return nodes.size() / 2 + 1;
-    }
+/**
+ * A node of the store: its name, where all nodes listen, and its folder. A new group's first voters are all of
+ * these; a node that {@code joins} an existing group votes only once that has taken it in.
+ */
+public record StoreConfig(String node, Map<String, InetSocketAddress> nodes, boolean joins, Path folder) {
 }
--- a/src/main/java/reeldeal/zones/Follower.java
+++ b/src/main/java/reeldeal/zones/Follower.java
@@ -41,6 +41,7 @@
     private long stateAt;
     private ScheduledFuture<?> planned;
     private String complaint = "";
+    private boolean stopped;
 
     Follower(HostedZone zone, PeerLink.Connector connector, ScheduledExecutorService loop, LongSupplier now,
             Map<String, Tsig.Key> keys, BooleanSupplier writes, Consumer<String> log) {
@@ -65,6 +66,18 @@
         tick();
     }
 
+    /** Follows no more. */
+    void stop() {
+        stopped = true;
+        if (link != null) {
+            link.close();
+            link = null;
+        }
+        if (planned != null) {
+            planned.cancel(false);
+        }
+    }
+
     void notified(long serial) {
         if (secondary.notified(now.getAsLong(), serial)) {
             tick();
@@ -76,7 +89,7 @@
     }
 
     private void tick() {
-        if (!writes.getAsBoolean()) {
+        if (stopped || !writes.getAsBoolean()) {
             return; // another node writes now, and follows
         }
         Secondary.Step due = secondary.tick(now.getAsLong());
@@ -96,6 +109,9 @@
     }
 
     private void plan() {
+        if (stopped) {
+            return;
+        }
         if (planned != null) {
             planned.cancel(false);
         }
--- a/src/main/java/reeldeal/zones/HostedZone.java
+++ b/src/main/java/reeldeal/zones/HostedZone.java
@@ -29,6 +29,7 @@
     private static final int MAX_WAITING = 4_000;
     private static final int BATCH_CHARS = 100_000;
     private static final int CHUNK_CHARS = 60_000;
+    private static final int CLEARED = 500;
 
     private record Waiting(Message message, IntConsumer rcode) { }
 
@@ -42,6 +43,8 @@
     private final Consumer<String> log;
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final Map<Long, Zone> generations = new HashMap<>();
+    /** Generations that count no more, whose sets may still be in the store. */
+    private final Set<Long> stale = new LinkedHashSet<>();
     private long generation = -1;
     private Zone zone;
     private Batch out;
@@ -119,9 +122,13 @@
 
     private void apart(String what, String value) {
         if (what.equals(ZoneKeys.HEAD) && value != null) {
+            if (generation >= 0) {
+                stale.add(generation);
+            }
             generation = Long.parseLong(value);
             Zone fresh = generations.remove(generation);
-            generations.keySet().removeIf(g -> g < generation);
+            generations.keySet().stream().filter(g -> g < generation).forEach(stale::add);
+            generations.keySet().removeAll(stale);
             zone = fresh == null ? Zone.empty(entry.origin()) : fresh;
             journal.clear();
             replaced = true;
@@ -141,6 +148,13 @@
         return taken;
     }
 
+    /** This node writes anew: what was out before has been decided, one way or the other. */
+    void reset() {
+        out = null;
+        replacing = false;
+        planFlush();
+    }
+
     // ---- updates ----
 
     /** Judges and keeps an update; its code comes once what it asks is committed. */
@@ -286,7 +300,6 @@
         private final long next;
         private final Iterator<Zone.Placed> sets;
         private final Consumer<Boolean> then;
-        private final long before = generation;
 
         Replacement(long next, Iterator<Zone.Placed> sets, Consumer<Boolean> then) {
             this.next = next;
@@ -320,19 +333,24 @@
             });
         }
 
-        /** Takes the old generation out of the store, a piece at a time. */
+        /** Takes old generations out of the store, those of broken off replacements too, a piece at a time. */
         private void clear() {
-            String prefix = before == 0 ? ZoneKeys.LEGACY + entry.origin() + "/"
-                    : ZoneKeys.generation(entry.origin(), before);
-            List<Change> gone = before < 0 ? List.of() : store.keysUnder(prefix, 500).stream()
-                    .map(k -> new Change(k, null)).toList();
-            if (!gone.isEmpty()) {
-                store.write(gone, result -> {
-                    if (result instanceof Store.Committed) {
-                        loop.execute(this::clear);
-                    }
-                });
+            if (stale.isEmpty()) {
+                return;
+            }
+            long old = stale.iterator().next();
+            List<Change> gone = store.keysUnder(old == 0 ? ZoneKeys.LEGACY + entry.origin() + "/"
+                    : ZoneKeys.generation(entry.origin(), old), CLEARED).stream().map(k -> new Change(k, null)).toList();
+            if (gone.isEmpty()) {
+                stale.remove(old);
+                clear();
+                return;
             }
+            store.write(gone, result -> {
+                if (result instanceof Store.Committed) {
+                    loop.execute(this::clear);
+                }
+            });
         }
     }
 
--- a/src/main/java/reeldeal/zones/ZoneService.java
+++ b/src/main/java/reeldeal/zones/ZoneService.java
@@ -36,6 +36,8 @@
     private static final int UDP_BYTES = 1_232;
     private static final int MAX_TRANSFERS = 16;
 
+    private static final int COMPLAINTS = 20;
+
     /** Where answers to a message go. */
     public interface Asker {
         /** Sends one message. */
@@ -58,6 +60,8 @@
     private int transfers;
     private boolean publishing;
     private boolean restored;
+    private long complaintSecond;
+    private int complaints;
 
     /** The zones of a configuration, kept in a store that has not begun yet; {@code now} is Unix time in ms. */
     public ZoneService(ZonesConfig config, Store store, ScheduledExecutorService loop, PeerLink.Connector connector,
@@ -133,7 +137,10 @@
 
     /** This node writes: it makes zones that there are none of, and follows the primaries of the others. */
     private void writing() {
+        followers.forEach(Follower::stop);
+        followers.clear();
         for (HostedZone zone : zones.values()) {
+            zone.reset();
             if (zone.entry.secondary()) {
                 Follower follower = new Follower(zone, connector, loop, now, config.keys(), store::isWriter, log);
                 followers.add(follower);
@@ -216,7 +223,7 @@
         if (Tsig.isSigned(message)) {
             byte[] refusal = responder.check(config.keys());
             if (refusal != null) {
-                log.accept("dns: " + from.getAddress().getHostAddress() + ": " + responder.why());
+                complain("dns: " + from.getAddress().getHostAddress() + ": " + responder.why());
                 asker.answer(refusal);
                 return;
             }
@@ -233,6 +240,21 @@
         }
     }
 
+    /** Says what was refused; whoever sends thousands of such messages must not fill the log. */
+    private void complain(String line) {
+        long second = now.getAsLong() / 1_000;
+        if (second != complaintSecond) {
+            if (complaints > COMPLAINTS) {
+                log.accept("dns: " + (complaints - COMPLAINTS) + " further refusals in that second");
+            }
+            complaintSecond = second;
+            complaints = 0;
+        }
+        if (++complaints <= COMPLAINTS) {
+            log.accept(line);
+        }
+    }
+
     private void query(Message message, Responder responder, InetAddress from, boolean tcp, Asker asker) {
         if (message.questions.size() != 1) {
             asker.answer(responder.code(Rcode.FORMERR));
@@ -242,10 +264,10 @@
         HostedZone zone = closest(question.name());
         if (question.klass() == Rr.CH) {
             asker.answer(from.isLoopbackAddress() ? members(question, responder) : responder.code(Rcode.REFUSED));
+        } else if (question.klass() == Rr.IN && (question.type() == Rr.AXFR || question.type() == Rr.IXFR)) {
+            transfer(message, question, responder, from, tcp, asker);
         } else if (zone == null || question.klass() != Rr.IN && question.klass() != Rr.ANY) {
             asker.answer(responder.code(Rcode.REFUSED));
-        } else if (question.type() == Rr.AXFR || question.type() == Rr.IXFR) {
-            transfer(message, question, responder, from, tcp, asker);
         } else if (!zone.entry.query().allows(from, responder.signer())) {
             asker.answer(responder.code(Rcode.REFUSED));
         } else if (!zone.serves()) {
@@ -264,7 +286,7 @@
         if (zone == null) {
             asker.answer(responder.code(Rcode.NOTAUTH)); // RFC 5936, section 2.2.1
         } else if (!zone.entry.transfer().allows(from, responder.signer())) {
-            log.accept("dns: " + zone.entry.origin() + ": transfer to " + from.getHostAddress() + " refused");
+            complain("dns: " + zone.entry.origin() + ": transfer to " + from.getHostAddress() + " refused");
             asker.answer(responder.code(Rcode.REFUSED));
         } else if (!zone.serves()) {
             asker.answer(responder.code(Rcode.SERVFAIL));
@@ -295,7 +317,7 @@
         String refusal = zone.entry.secondary() ? "it is a secondary zone" : !store.isWriter() ? "another node writes"
                 : refusal(zone, message, responder.signer(), from);
         if (refusal != null) {
-            log.accept("dns: " + zone.entry.origin() + ": update from " + from.getHostAddress()
+            complain("dns: " + zone.entry.origin() + ": update from " + from.getHostAddress()
                     + (responder.signer() == null ? "" : " signed by " + responder.signer()) + " refused: " + refusal);
             asker.answer(responder.code(Rcode.REFUSED));
             return;
@@ -328,7 +350,7 @@
         boolean known = zone.entry.primaries().stream().anyMatch(p -> p.key() != null
                 ? p.key().equals(responder.signer()) : p.address().getAddress().equals(from));
         if (!known) {
-            log.accept("dns: " + zone.entry.origin() + ": notification from " + from.getHostAddress() + " refused");
+            complain("dns: " + zone.entry.origin() + ": notification from " + from.getHostAddress() + " refused");
             asker.answer(responder.code(Rcode.REFUSED));
             return;
         }
--- /dev/null
+++ b/src/test/java/reeldeal/consensus/SimulationTest.java
@@ -0,0 +1,191 @@
+package reeldeal.consensus;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntUnaryOperator;
+import org.junit.Test;
+
+/** The module on the simulator: whole, over a fixed set of seeds, and broken on purpose. */
+public class SimulationTest {
+    private static final long MS = 6_000;
+    private static final int SEEDS = 300;
+    private static final int MOST = 3_000;
+
+    /** Ways in which the module can be broken; each must be found. */
+    private static Map<String, Simulation.Maker> broken() {
+        Map<String, Simulation.Maker> broken = new LinkedHashMap<>();
+        broken.put("a vote short of a majority elects", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            int electionMajority() {
+                return super.electionMajority() - 1;
+            }
+        });
+        broken.put("an entry commits a node short of a majority", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            int commitMajority() {
+                return super.commitMajority() - 1;
+            }
+        });
+        broken.put("an entry of an earlier term is committed by counting", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean mayCommit(long index) {
+                return true;
+            }
+        });
+        broken.put("a candidate's log is not looked at", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean upToDate(long lastIndex, long lastTerm) {
+                return true;
+            }
+        });
+        broken.put("a node votes twice in a term", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean mayVoteFor(String candidate) {
+                return true;
+            }
+        });
+        broken.put("entries are taken after one that differs", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean matches(long index, long entryTerm) {
+                return index <= lastIndex();
+            }
+        });
+        broken.put("votes and answers do not wait for the disk", (id, s, d, r) -> new Raft(id, s, d, r) {
+            private final java.util.List<Msg> early = new java.util.ArrayList<>();
+
+            @Override
+            void hold(Msg message) {
+                if (message.to().equals(id)) {
+                    super.hold(message);
+                } else {
+                    early.add(message);
+                }
+            }
+
+            @Override
+            public Output take() {
+                Output out = super.take();
+                out.messages.addAll(early);
+                early.clear();
+                return out;
+            }
+        });
+        broken.put("members change before the last change is committed, and by any number", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean mayChangeMembers(Members fresh) {
+                return true;
+            }
+        });
+        broken.put("a leader reads without asking anyone", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            int readMajority() {
+                return 1;
+            }
+        });
+        broken.put("a new leader reads before its own entry is committed", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean mayRead() {
+                return true;
+            }
+        });
+        broken.put("messages of past terms are taken", (id, s, d, r) -> new Raft(id, s, d, r) {
+            @Override
+            boolean staleTermIsRefused() {
+                return false;
+            }
+        });
+        return broken;
+    }
+
+    /** The first seed, from 1 on, at which a module goes wrong, with what was seen; null within {@code most}. */
+    private static Object[] find(Simulation.Maker maker, int most) {
+        for (int seed = 1; seed <= most; seed++) {
+            Simulation sim = new Simulation(seed, maker);
+            try {
+                sim.play(MS);
+            } catch (Simulation.Violation | IllegalStateException e) {
+                return new Object[] {seed, e.getMessage(), sim.trace()};
+            }
+        }
+        return null;
+    }
+
+    @Test
+    public void theModuleKeepsItsPromisesOverAFixedSetOfSeeds() {
+        int leaders = 0;
+        int answered = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Simulation sim = new Simulation(seed, Raft::new);
+            try {
+                sim.play(MS);
+            } catch (RuntimeException e) {
+                throw new AssertionError("seed " + seed + ": " + e + "\n" + String.join("\n", sim.trace()), e);
+            }
+            leaders += sim.leadersSeen;
+            answered += sim.calls.stream().filter(c -> c.end != Long.MAX_VALUE).count();
+        }
+        assertTrue("leaders change: " + leaders, leaders > 3 * SEEDS);
+        assertTrue("clients are answered: " + answered, answered > 20 * SEEDS);
+    }
+
+    @Test
+    public void eachWayOfBreakingTheModuleIsFound() {
+        broken().forEach((how, maker) -> assertNotNull("not found: " + how, find(maker, MOST)));
+    }
+
+    @Test
+    public void theCheckerTellsAHistoryThatHasAnOrderFromOneThatHasNone() {
+        Simulation.Call w1 = call(true, "1", 0, 10);
+        Simulation.Call w2 = call(true, "2", 20, 30);
+        assertTrue(Linearizable.check(List.of(w1, w2, call(false, "2", 31, 40))));
+        assertFalse("an old value after a new one", Linearizable.check(List.of(w1, w2, call(false, "1", 31, 40))));
+        assertTrue("at the same time either", Linearizable.check(List.of(w1, w2, call(false, "1", 25, 40))));
+        Simulation.Call unknown = call(true, "3", 0, Long.MAX_VALUE);
+        assertTrue("late or never", Linearizable.check(List.of(unknown, w1, call(false, "3", 50, 60))));
+        assertFalse("back and forth", Linearizable.check(List.of(w1, w2, call(false, "2", 31, 40), call(false, "1", 41, 50))));
+        assertEquals(true, Linearizable.check(List.of()));
+    }
+
+    private static Simulation.Call call(boolean write, String value, long begin, long end) {
+        Simulation.Call call = new Simulation.Call(write, "x", value, begin);
+        call.end = end;
+        return call;
+    }
+
+    /** By command: {@code run FROM TO} plays seeds, {@code broken MOST} says after how many each break is found. */
+    public static void main(String[] args) {
+        long from = System.nanoTime();
+        if (args[0].equals("broken")) {
+            broken().forEach((how, maker) -> {
+                if (args.length > 2 && !how.contains(args[2])) {
+                    return;
+                }
+                Object[] found = find(maker, Integer.parseInt(args[1]));
+                System.out.println("| " + how + " | " + (found == null ? "not found" : found[0] + " | " + ((String) found[1])
+                        .lines().findFirst().orElse("").split(":")[0]) + " |");
+            });
+            return;
+        }
+        long steps = 0;
+        int seeds = 0;
+        for (long seed = Long.parseLong(args[1]); seed <= Long.parseLong(args[2]); seed++) {
+            Simulation sim = new Simulation(seed, Raft::new);
+            try {
+                steps += sim.play(MS);
+                seeds++;
+            } catch (RuntimeException e) {
+                System.out.println("seed " + seed + ": " + e + "\n" + String.join("\n", sim.trace()));
+                System.exit(1);
+            }
+        }
+        double s = (System.nanoTime() - from) / 1e9;
+        System.out.printf(java.util.Locale.ROOT, "%d schedules of %d simulated ms, %d steps, %.1f s: %.0f schedules/s, %.0f steps/s%n",
+                seeds, MS, steps, s, seeds / s, steps / s);
+    }
+}
--- a/src/test/java/reeldeal/serve/DrainReplay.java
+++ b/src/test/java/reeldeal/serve/DrainReplay.java
@@ -165,7 +165,7 @@
             Path file = Files.writeString(folder.resolve("zone"), zone.toString());
             zones = "\"listen\":\"127.0.0.1:0\",\"origin\":\"" + ORIGIN + "\",\"zone_file\":\"" + file + "\"";
         }
-        Path file = Files.writeString(folder.resolve("store.json"), "{\"node\":\"a\",\"writer\":\"a\",\"term\":1,"
+        Path file = Files.writeString(folder.resolve("store.json"), "{\"node\":\"a\","
                 + "\"folder\":\"" + folder.resolve("state") + "\",\"nodes\":{\"a\":\"127.0.0.1:0\"},\"dns\":{" + zones
                 + ",\"members\":{" + members + "}}}");
         StoreFile config = StoreFile.read(Map.of("REELDEAL_STORE", file.toString()));
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -154,8 +154,12 @@
             }
             case "store" -> store = true;
             case "kill" -> program.destroyForcibly().waitFor();
-            case "tear" -> Files.write(folder.resolve("state/log"), new byte[] {0, 0, 0, 9, 1, 2, 3},
-                    java.nio.file.StandardOpenOption.APPEND);
+            case "tear" -> {
+                try (Stream<Path> files = Files.list(folder.resolve("state"))) {
+                    Files.write(files.filter(f -> f.getFileName().toString().startsWith("log-")).findFirst().orElseThrow(),
+                            new byte[] {0, 0, 0, 9, 1, 2, 3}, java.nio.file.StandardOpenOption.APPEND);
+                }
+            }
             case "garble" -> discovery.garble(words[1]);
             case "search-front" -> searchFront = true;
             case "start" -> start(words.length > 1 ? words[1] : "", rest);
@@ -241,7 +245,7 @@
         if (store) {
             Path zone = Files.writeString(folder.resolve("zone"), fill(
                     Files.readString(Path.of("src/test/resources/searchers.zone"))));
-            String file = "{\"node\":\"n0\",\"writer\":\"n0\",\"term\":1,\"nodes\":{\"n0\":\"127.0.0.1:0\"},"
+            String file = "{\"node\":\"n0\",\"nodes\":{\"n0\":\"127.0.0.1:0\"},"
                     + "\"folder\":\"" + folder.resolve("state") + "\",\"dns\":{\"listen\":\"127.0.0.1:0\","
                     + "\"origin\":\"searchers.test\",\"zone_file\":\"" + zone + "\"}}";
             builder.environment().put("REELDEAL_STORE", Files.writeString(folder.resolve("store.json"), file)
--- a/src/test/java/reeldeal/store/StoreTest.java
+++ b/src/test/java/reeldeal/store/StoreTest.java
@@ -1,13 +1,11 @@
 package reeldeal.store;
 
 import static org.junit.Assert.assertEquals;
-import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.io.RandomAccessFile;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -34,6 +32,7 @@
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final Map<String, InetSocketAddress> nodes = new HashMap<>();
     private final Map<String, Store> running = new HashMap<>();
+    private final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
 
     @Before
     public void choosePorts() throws IOException {
@@ -62,14 +61,23 @@
         return group.next().submit(work).sync().getNow();
     }
 
-    private Store start(String node, String writer, long term) throws Exception {
-        Store store = new Store(group, new StoreConfig(node, writer, term, nodes,
-                folder.getRoot().toPath().resolve(node)), line -> { });
+    private Store start(String node) throws Exception {
+        Store store = new Store(group, new StoreConfig(node, nodes, false, folder.getRoot().toPath().resolve(node)),
+                log::add);
         running.put(node, store);
         store.start().sync();
         return store;
     }
 
+    private Store writer() throws Exception {
+        await(() -> running.values().stream().anyMatch(Store::isWriter));
+        return running.values().stream().filter(Store::isWriter).findFirst().orElseThrow();
+    }
+
+    private String name(Store store) {
+        return running.entrySet().stream().filter(e -> e.getValue() == store).map(Map.Entry::getKey).findFirst().orElseThrow();
+    }
+
     private void kill(String node) throws Exception {
         Store store = running.remove(node);
         on(() -> {
@@ -102,82 +110,101 @@
 
     @Test
     public void aKilledPeerCatchesUpWhenItRejoins() throws Exception {
-        Store a = start("a", "a", 1);
-        Store b = start("b", "a", 1);
-        start("c", "a", 1);
-        await(a::isWriter);
-        assertTrue(write(a, "k", "1") instanceof Store.Committed);
-        reads(b, "k", "1");
-        kill("c");
-        assertTrue(write(a, "k", "2") instanceof Store.Committed);
-        assertTrue(write(a, "gone", "x") instanceof Store.Committed);
-        assertTrue(write(a, "gone", null) instanceof Store.Committed);
-        Store c = start("c", "a", 1);
-        reads(c, "k", "2");
-        assertEquals(null, on(() -> c.get("gone")));
-        assertTrue(write(b, "k", "3") instanceof Store.Rejected);
+        for (String node : nodes.keySet()) {
+            start(node);
+        }
+        Store w = writer();
+        assertTrue(write(w, "k", "1") instanceof Store.Committed);
+        for (Store s : running.values()) {
+            reads(s, "k", "1");
+        }
+        String other = nodes.keySet().stream().filter(n -> running.get(n) != w).findFirst().orElseThrow();
+        kill(other);
+        assertTrue(write(w, "k", "2") instanceof Store.Committed);
+        assertTrue(write(w, "gone", "x") instanceof Store.Committed);
+        assertTrue(write(w, "gone", null) instanceof Store.Committed);
+        Store back = start(other);
+        reads(back, "k", "2");
+        await(back::isCurrent);
+        assertEquals(null, on(() -> back.get("gone")));
+        assertTrue(write(back, "k", "3") instanceof Store.Rejected);
+    }
+
+    @Test
+    public void aDeadWriterIsReplacedAndWhatWasCommittedStays() throws Exception {
+        for (String node : nodes.keySet()) {
+            start(node);
+        }
+        for (int round = 0; round < 3; round++) {
+            Store w = writer();
+            assertTrue(write(w, "k" + round, "committed") instanceof Store.Committed);
+            String dead = name(w);
+            kill(dead);
+            Store next = writer();
+            for (int i = 0; i <= round; i++) {
+                assertEquals("committed", on(() -> next.get("k0")));
+            }
+            reads(start(dead), "k" + round, "committed");
+        }
     }
 
     @Test
     public void withoutAMajorityNothingIsCommitted() throws Exception {
-        Store a = start("a", "a", 1);
+        Store a = start("a");
         assertTrue(write(a, "k", "1") instanceof Store.Rejected);
-        start("b", "a", 1);
-        await(a::isWriter);
-        assertTrue(write(a, "k", "1") instanceof Store.Committed);
-        kill("b");
-        assertEquals(new Store.Unknown(), write(a, "k", "2"));
-        assertEquals("1", on(() -> a.get("k")));
-        start("b", "a", 1);
-        reads(a, "k", "2");
+        start("b");
+        Store w = writer();
+        String follower = name(w).equals("a") ? "b" : "a";
+        assertTrue(write(w, "k", "1") instanceof Store.Committed);
+        kill(follower);
+        assertEquals(new Store.Unknown(), write(w, "k", "2"));
+        assertEquals("1", on(() -> w.get("k")));
+        start(follower);
+        assertTrue(write(writer(), "j", "3") instanceof Store.Committed);
+        assertTrue("it steps down and says so", log.stream().anyMatch(l -> l.contains("hears no majority")));
     }
 
     @Test
-    public void aNewWriterKeepsWhatWasCommittedAndTheOldOneStopsWriting() throws Exception {
-        Store a = start("a", "a", 1);
-        start("b", "a", 1);
-        await(a::isWriter);
-        assertTrue(write(a, "k", "committed") instanceof Store.Committed);
-        kill("b");
-        assertEquals(new Store.Unknown(), write(a, "k", "never by a majority"));
-        kill("a");
-        // b has the committed write; c has nothing and takes the log over before it writes.
-        start("b", "c", 2);
-        Store c = start("c", "c", 2);
-        await(c::isWriter);
-        reads(c, "k", "committed");
-        assertTrue(write(c, "k", "by c") instanceof Store.Committed);
-        // The old writer comes back under its old term: it may not write, and then follows.
-        Store stale = start("a", "a", 1);
-        reads(stale, "k", "by c");
-        assertFalse(on(stale::isWriter));
-        assertTrue(write(stale, "k", "stale") instanceof Store.Rejected);
+    public void aWriteOnAConditionOrOfASessionHappensOnce() throws Exception {
+        start("a");
+        start("b");
+        Store w = writer();
+        long version = ((Store.Committed) write(w, "k", "1")).version();
+        State.Command swap = new State.Command("s", 1, List.of(new State.Expect("k", version)), List.of(new Change("k", "2")));
+        Store.Result first = command(w, swap);
+        assertEquals("the same again, as after a lost answer", first, command(w, swap));
+        assertTrue(first instanceof Store.Committed);
+        State.Command late = new State.Command("s", 2, List.of(new State.Expect("k", version)), List.of(new Change("k", "3")));
+        assertTrue(((Store.Rejected) command(w, late)).why().startsWith("k is at version"));
+        assertEquals("2", on(() -> w.get("k")));
+        assertEquals(1, on(() -> w.since(version)).size());
+    }
+
+    private Store.Result command(Store store, State.Command command) throws Exception {
+        CompletableFuture<Store.Result> result = new CompletableFuture<>();
+        on(() -> {
+            store.write(command, result::complete);
+            return null;
+        });
+        return result.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
     @Test
-    public void aTornOrSpoiltEndOfTheLogIsCutOff() throws Exception {
-        for (int spoilt : new int[] {1, 9}) {
-            LogFile log = new LogFile(folder.getRoot().toPath().resolve("log" + spoilt));
-            log.append(List.of(new Entry(1, 1, List.of(new Change("k", "1"))),
-                    new Entry(1, 2, List.of(new Change("k", "2")))));
-            log.close();
-            try (RandomAccessFile file = new RandomAccessFile(
-                    folder.getRoot().toPath().resolve("log" + spoilt + "/log").toFile(), "rw")) {
-                if (spoilt == 1) {
-                    file.setLength(file.length() - 1);
-                } else {
-                    file.seek(file.length() - spoilt);
-                    file.write(0x55);
-                }
+    public void aFolderOfVersion03IsReadOn() throws Exception {
+        for (String node : List.of("a", "b")) {
+            try (LogFile old = new LogFile(folder.getRoot().toPath().resolve(node))) {
+                old.promise(3, "a");
+                old.append(List.of(new Entry(1, 1, List.of()), new Entry(1, 2, List.of(new Change("k", "1"))),
+                        new Entry(3, 3, List.of(new Change("k", "2"), new Change("j", "x")))));
             }
-            LogFile again = new LogFile(folder.getRoot().toPath().resolve("log" + spoilt));
-            assertEquals(1, again.lastVersion());
-            assertTrue(again.cutBytes() > 0);
-            again.append(List.of(new Entry(1, 2, List.of(new Change("k", "other")))));
-            again.close();
-            LogFile third = new LogFile(folder.getRoot().toPath().resolve("log" + spoilt));
-            assertEquals("other", third.entry(2).changes().get(0).value());
-            third.close();
         }
+        start("a");
+        start("b");
+        Store w = writer();
+        reads(w, "k", "2");
+        assertTrue(write(w, "k", "3") instanceof Store.Committed);
+        String again = name(w);
+        kill(again);
+        reads(start(again), "k", "3");
     }
 }
