--- a/src/test/java/reeldeal/dns/ZoneFileTest.java
+++ b/src/test/java/reeldeal/dns/ZoneFileTest.java
@@ -96,7 +96,7 @@
     public void whatIsWrittenGivesTheSameZone() throws Exception {
         Zone zone = parse("h A 10.0.0.1\n AAAA ::1\n TXT \"a \\\"b\\\\\" \\200\nw\\.x\\032y MX 1 \\@.test.\n"
                 + "u TYPE65280 \\# 2 abcd\nv TYPE65281 \\# 0\n* SRV 1 2 3 h\nc CAA 0 issue \"ca.test\"\n"
-                + "w WKS 10.0.0.1 17 53\ni HINFO a \"b c\"\nk DNSKEY 256 3 13 AQIDBA==\n");
+                + "w WKS 10.0.0.1 17 53\ni HINFO a \"b c\"\nds TYPE43 \\# 4 00000000\nk DNSKEY 256 3 13 AQIDBA==\n");
         StringBuilder text = new StringBuilder();
         ZoneFile.write(zone, text);
         Zone again = ZoneFile.parse("again", text.toString(), "z.test.", null);
