--- a/src/main/java/reeldeal/consensus/Raft.java
+++ b/src/main/java/reeldeal/consensus/Raft.java
@@ -317,16 +317,21 @@
         return commit >= ownFirst;
     }
 
+    /** What {@link #compact} would put in place of the entries up to an index that has been told. */
+    public Snapshot snapshotAt(long index, byte[] state) {
+        Members then = log.snapshot().members();
+        for (long i = log.snapshotIndex() + 1; i <= index; i++) {
+            then = log.entry(i).members() == null ? then : log.entry(i).members();
+        }
+        return new Snapshot(index, log.term(index), then, state);
+    }
+
     /** The state after this index is kept elsewhere: entries up to it may go. */
     public void compact(long index, byte[] state) {
         if (index <= log.snapshotIndex() || index > told) {
             return;
         }
-        Members then = log.snapshot().members();
-        for (long i = log.snapshotIndex() + 1; i <= index; i++) {
-            then = log.entry(i).members() == null ? then : log.entry(i).members();
-        }
-        Snapshot snapshot = new Snapshot(index, log.term(index), then, state);
+        Snapshot snapshot = snapshotAt(index, state);
         log.compact(snapshot);
         dirtySnapshot = snapshot;
         configure();
--- a/src/main/java/reeldeal/storage/Folder.java
+++ b/src/main/java/reeldeal/storage/Folder.java
@@ -39,6 +39,7 @@
     /** {@code log-EPOCH-INDEX}: an epoch ends where a snapshot replaces the log whole. */
     private static final String LOG = "log-";
     private static final String SNAPSHOT = "snapshot-";
+    private static final String PREPARED = "prepared.new";
 
     /** What a folder held when it was opened. */
     public record Opened(Raft.OnDisk state, long cutBytes) { }
@@ -79,6 +80,10 @@
     private long term;
     private String vote;
     private long epoch;
+    private Snapshot prepared;
+    private long preparedEpoch;
+    /** Bytes that may yet be written; tests make a disk full with it. */
+    long room = Long.MAX_VALUE;
     private boolean failed;
 
     private Folder(Path path, int segmentBytes, FileChannel lockFile, FileLock lock) {
@@ -162,11 +167,18 @@
         }
     }
 
-    private static void writeAll(FileChannel out, ByteBuffer bytes, long at) throws IOException {
+    private void writeAll(FileChannel out, ByteBuffer bytes, long at) throws IOException {
         long to = at;
+        room -= bytes.remaining();
+        if (room < 0) {
+            bytes.limit((int) Math.max(bytes.position(), bytes.limit() + room)); // what fitted is there
+        }
         while (bytes.hasRemaining()) {
             to += out.write(bytes, to);
         }
+        if (room < 0) {
+            throw new IOException("no space left in " + path);
+        }
     }
 
     // ---- recovery ----
@@ -488,20 +500,63 @@
         }
     }
 
-    /** The snapshot first, then files of the log that it covers whole; where it clears, all of them. */
-    private void writeSnapshot(Snapshot snapshot, boolean clears) throws IOException {
+    /**
+     * Writes a snapshot's bytes ahead of the request for it, so that this, which takes as long as the state is
+     * large, holds up no other write. May run on another thread than {@link #write}; what comes of it is used if
+     * it is still what is asked for then.
+     */
+    public void prepare(Snapshot snapshot) throws IOException {
+        Path file = path.resolve(PREPARED);
+        byte[] bytes = snapshotBytes(snapshot, preparedFor());
+        try (FileChannel out = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            writeAll(out, ByteBuffer.wrap(bytes), 0);
+            out.force(true);
+        }
+        synchronized (this) {
+            prepared = snapshot;
+        }
+    }
+
+    private synchronized long preparedFor() {
+        prepared = null;
+        preparedEpoch = epoch;
+        return epoch;
+    }
+
+    /** Whether the file of a snapshot lies ready. */
+    private synchronized boolean isPrepared(Snapshot snapshot, boolean clears) {
+        boolean is = !clears && prepared != null && preparedEpoch == epoch && prepared.index() == snapshot.index()
+                && prepared.term() == snapshot.term() && prepared.members().equals(snapshot.members())
+                && prepared.data() == snapshot.data();
+        prepared = null;
+        return is;
+    }
+
+    private static byte[] snapshotBytes(Snapshot snapshot, long ofEpoch) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(64 + snapshot.data().length);
         DataOutputStream out = new DataOutputStream(bytes);
-        out.writeLong(clears ? epoch + 1 : epoch);
+        out.writeLong(ofEpoch);
         out.writeLong(snapshot.index());
         out.writeLong(snapshot.term());
         writeMembers(out, snapshot.members());
         out.write(snapshot.data());
-        replace(path.resolve(SNAPSHOT + snapshot.index()), Records.write(bytes.toByteArray()));
+        return Records.write(bytes.toByteArray());
+    }
+
+    /** The snapshot first, then files of the log that it covers whole; where it clears, all of them. */
+    private void writeSnapshot(Snapshot snapshot, boolean clears) throws IOException {
+        Path file = path.resolve(SNAPSHOT + snapshot.index());
+        if (isPrepared(snapshot, clears)) {
+            Files.move(path.resolve(PREPARED), file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            flushFolder();
+        } else {
+            replace(file, snapshotBytes(snapshot, clears ? epoch + 1 : epoch));
+        }
         if (clears) {
             // From here on its files count no more: they were of an epoch that has ended.
             truncateFrom(1);
-            epoch++;
+            nextEpoch();
         }
         try (Stream<Path> files = Files.list(path)) {
             for (Path f : files.toList()) {
@@ -516,6 +571,10 @@
         }
     }
 
+    private synchronized void nextEpoch() {
+        epoch++;
+    }
+
     /** Bytes of the log's files, and how many files there are. */
     public long[] size() {
         return new long[] {segments.values().stream().mapToLong(Segment::size).sum(), segments.size()};
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -30,6 +30,7 @@
 import reeldeal.consensus.Msg;
 import reeldeal.consensus.Output;
 import reeldeal.consensus.Raft;
+import reeldeal.consensus.Snapshot;
 import reeldeal.frames.FrameBuffer;
 import reeldeal.storage.Folder;
 
@@ -467,11 +468,17 @@
     void compactNow() {
         compacting = true;
         State.Frozen frozen = state.freeze();
+        Snapshot shape = raft.snapshotAt(frozen.version(), new byte[0]);
         background.execute(() -> {
             byte[] bytes = frozen.toBytes();
+            try {
+                folder.prepare(new Snapshot(shape.index(), shape.term(), shape.members(), bytes));
+            } catch (IOException e) {
+                log.accept("store: snapshot not prepared: " + e); // the disk's thread tries again, and tells
+            }
             group.next().execute(() -> {
                 compacting = false;
-                if (!closed && !diskFailed) {
+                if (!closed && !diskFailed && frozen.version() > raft.snapshotIndex()) {
                     raft.compact(frozen.version(), bytes);
                     logBytes = 0;
                     step();
--- a/src/test/java/reeldeal/storage/FolderTest.java
+++ b/src/test/java/reeldeal/storage/FolderTest.java
@@ -265,4 +265,56 @@
             assertEquals(List.of(), f.opened().state().entries());
         }
     }
+
+    /** The disk is full after any number of bytes: what was acknowledged is there at the next start, in order. */
+    @Test
+    public void aFullDiskAtEveryWriteEndsWritingAndLosesNothing() throws IOException {
+        int reached = 0;
+        for (int room = 0; room < 2_600; room += 13) {
+            Path folder = base.resolve("full" + room);
+            long acknowledged = 0;
+            long snapshot = 0;
+            try (Folder f = open(folder, 500)) {
+                f.room = room;
+                try {
+                    for (int i = 0; i < 8; i++) {
+                        f.write(List.of(append(1, 3 * i + 1, 3 * i + 3)));
+                        acknowledged = 3 * i + 3;
+                    }
+                    f.write(List.of(new Persist(0, 1, "a", Long.MAX_VALUE, List.of(), new Snapshot(12, 1, FIRST, new byte[400]), false)));
+                    snapshot = 12;
+                } catch (IOException e) {
+                    assertTrue(e.getMessage(), e.getMessage().contains("no space left"));
+                    assertThrows("no more", IOException.class, () -> f.write(List.of(append(1, 1, 1))));
+                }
+            }
+            try (Folder f = open(folder, 500)) {
+                Raft.OnDisk disk = f.opened().state();
+                long last = disk.snapshot().index() + disk.entries().size();
+                assertTrue("room " + room + ": " + last + " of " + acknowledged, last >= acknowledged);
+                assertTrue(disk.snapshot().index() >= snapshot);
+                reached += snapshot > 0 ? 1 : 0;
+                f.write(List.of(append(2, last + 1, last + 2)));
+            }
+            assertTrue(state(folder, 500).startsWith("2 a"));
+        }
+        assertTrue("with room enough all is written: " + reached, reached > 5);
+    }
+
+    @Test
+    public void aPreparedSnapshotIsUsedWhereItIsStillTheOneAskedFor() throws IOException {
+        Snapshot snapshot = new Snapshot(6, 1, FIRST, new byte[100]);
+        try (Folder f = open(base, 300)) {
+            f.write(List.of(append(1, 1, 10)));
+            f.prepare(snapshot);
+            f.write(List.of(new Persist(0, 1, "a", Long.MAX_VALUE, List.of(), snapshot, false)));
+            f.prepare(new Snapshot(8, 1, FIRST, new byte[100]));
+            f.write(List.of(new Persist(0, 1, "a", Long.MAX_VALUE, List.of(), new Snapshot(9, 1, FIRST, new byte[50]), false)));
+        }
+        try (Folder f = open(base, 300)) {
+            assertEquals(9, f.opened().state().snapshot().index());
+            assertEquals(50, f.opened().state().snapshot().data().length);
+            assertEquals(1, f.opened().state().entries().size());
+        }
+    }
 }
