--- a/src/main/java/reeldeal/consensus/Members.java
+++ b/src/main/java/reeldeal/consensus/Members.java
@@ -1,5 +1,9 @@
 package reeldeal.consensus;
 
+import java.io.DataInput;
+import java.io.DataOutput;
+import java.io.IOException;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -66,4 +70,29 @@
         l.remove(node);
         return new Members(v, l);
     }
+
+    /** Writes both sets of names, in the one form that files and messages share. */
+    public void writeTo(DataOutput out) throws IOException {
+        for (Set<String> names : List.of(voters, learners)) {
+            out.writeShort(names.size());
+            for (String name : names) {
+                out.writeUTF(name);
+            }
+        }
+    }
+
+    /** Reads what {@link #writeTo} wrote; throws IOException where that is no group. */
+    public static Members readFrom(DataInput in) throws IOException {
+        List<Set<String>> both = List.of(new TreeSet<>(), new TreeSet<>());
+        for (Set<String> names : both) {
+            for (int n = in.readUnsignedShort(); n > 0; n--) {
+                names.add(in.readUTF());
+            }
+        }
+        try {
+            return new Members(both.get(0), both.get(1));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage());
+        }
+    }
 }
--- a/src/main/java/reeldeal/storage/Folder.java
+++ b/src/main/java/reeldeal/storage/Folder.java
@@ -18,7 +18,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.stream.Stream;
 import reeldeal.consensus.Entry;
 import reeldeal.consensus.Members;
@@ -276,7 +275,7 @@
         }
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(head.bytes()));
         epoch = in.readLong();
-        Snapshot snapshot = new Snapshot(in.readLong(), in.readLong(), readMembers(in), in.readAllBytes());
+        Snapshot snapshot = new Snapshot(in.readLong(), in.readLong(), Members.readFrom(in), in.readAllBytes());
         if (snapshot.index() != index) {
             throw new Damaged(file, 0, "the snapshot is of index " + snapshot.index());
         }
@@ -350,7 +349,7 @@
         out.writeLong(e.term());
         out.writeBoolean(e.members() != null);
         if (e.members() != null) {
-            writeMembers(out, e.members());
+            e.members().writeTo(out);
         }
         out.write(e.data());
         return bytes.toByteArray();
@@ -361,31 +360,10 @@
         in.readLong();
         long index = in.readLong();
         long entryTerm = in.readLong();
-        Members members = in.readBoolean() ? readMembers(in) : null;
+        Members members = in.readBoolean() ? Members.readFrom(in) : null;
         return new Entry(index, entryTerm, in.readAllBytes(), members);
     }
 
-    private static void writeMembers(DataOutputStream out, Members members) throws IOException {
-        for (Set<String> names : List.of(members.voters(), members.learners())) {
-            out.writeShort(names.size());
-            for (String name : names) {
-                out.writeUTF(name);
-            }
-        }
-    }
-
-    private static Members readMembers(DataInputStream in) throws IOException {
-        List<Set<String>> both = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
-            Set<String> names = new TreeSet<>();
-            for (int n = in.readUnsignedShort(); n > 0; n--) {
-                names.add(in.readUTF());
-            }
-            both.add(names);
-        }
-        return new Members(both.get(0), both.get(1));
-    }
-
     // ---- writing ----
 
     /**
@@ -539,7 +517,7 @@
         out.writeLong(ofEpoch);
         out.writeLong(snapshot.index());
         out.writeLong(snapshot.term());
-        writeMembers(out, snapshot.members());
+        snapshot.members().writeTo(out);
         out.write(snapshot.data());
         return Records.write(bytes.toByteArray());
     }
--- a/src/main/java/reeldeal/store/Wire.java
+++ b/src/main/java/reeldeal/store/Wire.java
@@ -8,8 +8,6 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
 import reeldeal.consensus.Entry;
 import reeldeal.consensus.Members;
 import reeldeal.consensus.Msg;
@@ -91,11 +89,8 @@
 
     private static void members(DataOutputStream out, Members members) throws IOException {
         out.writeBoolean(members != null);
-        for (Set<String> names : members == null ? List.<Set<String>>of() : List.of(members.voters(), members.learners())) {
-            out.writeShort(names.size());
-            for (String name : names) {
-                out.writeUTF(name);
-            }
+        if (members != null) {
+            members.writeTo(out);
         }
     }
 
@@ -150,21 +145,6 @@
     }
 
     private static Members members(DataInputStream in) throws IOException {
-        if (!in.readBoolean()) {
-            return null;
-        }
-        List<Set<String>> both = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
-            Set<String> names = new TreeSet<>();
-            for (int n = in.readUnsignedShort(); n > 0; n--) {
-                names.add(in.readUTF());
-            }
-            both.add(names);
-        }
-        try {
-            return new Members(both.get(0), both.get(1));
-        } catch (IllegalArgumentException e) {
-            throw new IOException(e.getMessage());
-        }
+        return in.readBoolean() ? Members.readFrom(in) : null;
     }
 }
--- a/src/test/java/reeldeal/serve/StandIn.java
+++ b/src/test/java/reeldeal/serve/StandIn.java
@@ -31,11 +31,12 @@
         });
     }
 
-    private interface Work {
+    /** What a thread does until its sockets end. */
+    interface Work {
         void run() throws Exception;
     }
 
-    private static void daemon(Work work) {
+    static void daemon(Work work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
--- a/src/test/java/reeldeal/serve/ThreeDaemons.java
+++ b/src/test/java/reeldeal/serve/ThreeDaemons.java
@@ -57,7 +57,7 @@
         private volatile boolean cut;
 
         Proxy(int to) throws IOException {
-            daemon(() -> {
+            StandIn.daemon(() -> {
                 while (true) {
                     Socket in = server.accept();
                     if (cut) {
@@ -68,8 +68,8 @@
                         Socket out = new Socket(InetAddress.getLoopbackAddress(), to);
                         open.add(in);
                         open.add(out);
-                        daemon(() -> pass(in, out));
-                        daemon(() -> pass(out, in));
+                        StandIn.daemon(() -> pass(in, out));
+                        StandIn.daemon(() -> pass(out, in));
                     } catch (IOException e) {
                         in.close(); // the other side is down
                     }
@@ -100,22 +100,6 @@
         }
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                return; // the socket's end
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private static final class Daemon {
         EventLoopGroup state;
         EventLoopGroup group;
