Ask for a primary's key in one place, and drop a flag that was always set

Read again: the follower looked its key up twice and judged a bad signature in two places; the message writer's flag for compression never varied. Behaviour is the same; InteropTest, SecondaryTest, TransferInTest, MessageFuzzTest and LayoutTest pass.

--- a/src/main/java/reeldeal/dns/MessageWriter.java
+++ b/src/main/java/reeldeal/dns/MessageWriter.java
@@ -53,7 +53,7 @@
 
     /** Adds a question. */
     public MessageWriter question(String name, int type, int klass) {
-        name(name, true);
+        name(name);
         u16(type);
         u16(klass);
         counts[0]++;
@@ -99,7 +99,7 @@
     }
 
     private boolean write(Rr r) {
-        name(r.name(), true);
+        name(r.name());
         u16(r.type());
         u16(r.klass());
         u16((int) (r.ttl() >> 16));
@@ -124,7 +124,7 @@
         int from = 0;
         for (Field field : fields) {
             if (field == Field.NAME) {
-                name(Names.text(data, from), true);
+                name(Names.text(data, from));
                 while (data[from] != 0) {
                     from += 1 + data[from];
                 }
@@ -137,10 +137,10 @@
         }
     }
 
-    private void name(String name, boolean compress) {
+    private void name(String name) {
         String rest = name;
         while (!rest.equals(".")) {
-            Integer offset = compress ? names.get(rest) : null;
+            Integer offset = names.get(rest);
             if (offset != null) {
                 u16(0xc000 | offset);
                 return;
--- a/src/main/java/reeldeal/zones/Follower.java
+++ b/src/main/java/reeldeal/zones/Follower.java
@@ -88,6 +88,11 @@
         return zone.entry.primaries().get(secondary.primary());
     }
 
+    /** The key for the present primary, or null. */
+    private Tsig.Key key() {
+        return primary().key() == null ? null : keys.get(primary().key());
+    }
+
     private void tick() {
         if (stopped || !writes.getAsBoolean()) {
             return; // another node writes now, and follows
@@ -145,7 +150,7 @@
             writer.add(2, zone.zone().soa());
         }
         byte[] bytes = writer.toBytes();
-        Tsig.Key key = primary().key() == null ? null : keys.get(primary().key());
+        Tsig.Key key = key();
         if (key != null) {
             Tsig.Signed signed = Tsig.sign(bytes, key, now.getAsLong() / 1_000, null, false);
             bytes = signed.bytes();
@@ -190,15 +195,16 @@
     private void soa(byte[] bytes) {
         try {
             Message message = Message.parse(bytes);
-            Tsig.Key key = primary().key() == null ? null : keys.get(primary().key());
-            Tsig.Checked checked = key == null ? null : !Tsig.isSigned(message) ? null
+            Tsig.Key key = key();
+            Tsig.Checked checked = key == null || !Tsig.isSigned(message) ? null
                     : Tsig.check(message, Map.of(key.name(), key), now.getAsLong() / 1_000, mac, new byte[0], false);
             Rr soa = message.answers().stream().filter(r -> r.type() == Rr.SOA
                     && r.name().equals(zone.entry.origin()) && r.data().length > 20).findFirst().orElse(null);
-            if (message.id != id || !message.response || key != null && (checked == null || !checked.good())
+            boolean forged = key != null && (checked == null || !checked.good());
+            if (message.id != id || !message.response || forged
                     || message.rcode() != Rcode.NOERROR || soa == null) {
                 link.close();
-                ended(key != null && (checked == null || !checked.good()) ? "a bad signature"
+                ended(forged ? "a bad signature"
                         : message.rcode() != 0 ? Rcode.name(message.rcode()) : "no SOA record in the answer");
                 return;
             }
