Take less of a core for a broker's first queries: no streams or late linking there

Logs of each refusal named answers waited for in vain for 0.4 to 2.4 s with typical times of 1 to 76 ms: brokers stood still themselves. A probe (one broker on one core, 16 queries a second, 60 stand-ins): 280 to 350 ms of processor time in the first half second, 19 to 35 ms a query, on half a core. Ruled out: compiling less (CompileThresholdScaling 4 and 20 cost more in sum). At fault: text joined and records hashed by code that is linked at its first use, Netty's leak detector and reflection's generated accessors, the module's streams, and its review of each waiting query every four turns (4 ms there) though nothing could be due.

State types moved to Held.

--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -2,11 +2,17 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import reeldeal.decide.Held.Attempt;
+import reeldeal.decide.Held.Call;
+import reeldeal.decide.Held.Leaf;
+import reeldeal.decide.Held.PartState;
+import reeldeal.decide.Held.QueryState;
 
 /**
  * Every decision of a root: which replica gets each part, time-outs, further attempts, health, warm-up,
@@ -46,97 +52,9 @@
     private static final double REST = 0.5; // typical times that a full or unreachable server rests
     private static final double REVIEW_TURNS = 4; // between two looks at a query that waits
     private static final double STALL = 3; // such waits without a turn: the root itself stood still
-    private static final double ROUNDING = 1e-5; // by which sums of weights may fall short
+    static final double ROUNDING = 1e-5; // by which sums of weights may fall short
 
-    // ---- state ----
-
-    private static final class Leaf {
-        final long id;
-        Server listed;
-        boolean ready, trusted, silent, quiet; // silent: what it was sent last came to nothing
-        int goodInRow, ejections, calls;
-        double slowness = 1, pace = 1, lateness = 1;
-        double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
-        double gap, servedAt, busyFrom;
-        Call open;
-        final List<Attempt> out = new ArrayList<>();
-
-        Leaf(long id, boolean trusted) {
-            this.id = id;
-            this.leftAt = Double.MAX_VALUE;
-            this.trusted = trusted;
-        }
-    }
-
-    private static final class Call {
-        final double at;
-        int parts, live;
-
-        Call(double at) {
-            this.at = at;
-        }
-    }
-
-    private static final class Attempt {
-        final PartState part;
-        final Leaf leaf;
-        final Call call;
-        final int place;
-        final double at;
-        boolean ended, cancelled, neverRan;
-
-        Attempt(PartState part, Leaf leaf) {
-            this.part = part;
-            this.leaf = leaf;
-            call = leaf.open;
-            place = call.parts++;
-            at = call.at;
-        }
-    }
-
-    private static final class PartState {
-        final Part told;
-        final QueryState query;
-        final List<Attempt> attempts = new ArrayList<>();
-        int live;
-        boolean done;
-
-        PartState(Part told, QueryState query) {
-            this.told = told;
-            this.query = query;
-        }
-
-        boolean provenUnrun() {
-            return attempts.stream().allMatch(a -> a.neverRan);
-        }
-    }
-
-    private static final class QueryState {
-        final Query told;
-        final QueryClass klass;
-        final int token;
-        final List<PartState> all = new ArrayList<>();
-        List<PartState> step = new ArrayList<>();
-        double weightIn, begun, softAt, endAt, unsentEndAt;
-        int partsIn;
-        double mostInAfter = Double.POSITIVE_INFINITY, armedAt = Double.POSITIVE_INFINITY;
-        boolean firstWhole, secondStep, ended;
-
-        QueryState(Query told, QueryClass klass, int token) {
-            this.told = told;
-            this.klass = klass;
-            this.token = token;
-        }
-
-        /** Whether an answer of less than the whole may be given. */
-        boolean partial() {
-            return klass.leastShare() < klass.completeFrom();
-        }
-
-        boolean floorIn() {
-            return weightIn >= klass.leastShare() - ROUNDING;
-        }
-    }
+    // ---- state: its parts stand in Held ----
 
     private final Settings settings;
     private final Rules rules;
@@ -144,6 +62,7 @@
     private final double aim;
     private final TreeMap<Long, Leaf> leaves = new TreeMap<>();
     private final List<List<Leaf>> cells = new ArrayList<>();
+    private final List<List<Leaf>> holders = new ArrayList<>(); // of the shards that begin at each cell
     private final Map<Long, QueryState> queries = new HashMap<>();
     private final Map<Long, PartState> parts = new HashMap<>();
     private final Map<Integer, QueryState> byToken = new HashMap<>();
@@ -155,7 +74,7 @@
     private double takenCount, clock, sound = 1, pacesAt = -1;
     private double queryGap, queryAt, nextTrial;
     private double doneUnits, doneAt, meanDensity, logAt;
-    private int partsOut, held, nextToken = 1;
+    private int partsOut, held, warm, nextToken = 1;
     private boolean shedding, spent, stall;
 
     /** A root that knows nothing yet. */
@@ -175,6 +94,7 @@
         }
         for (int i = 0; i < settings.layout().cells(); i++) {
             cells.add(new ArrayList<>());
+            holders.add(new ArrayList<>());
         }
         doneAt = queryAt = logAt = now;
         if (settings.listOnRequest()) {
@@ -214,6 +134,12 @@
                 cells.get(leaf.listed.cell()).add(leaf);
             }
         }
+        for (int i = 0; i < cells.size(); i++) {
+            holders.get(i).clear();
+            for (int j = 0; j < settings.layout().inARow(); j++) {
+                holders.get(i).addAll(cells.get((i + j) % cells.size()));
+            }
+        }
         pacesAt = -1;
     }
 
@@ -324,7 +250,11 @@
         QueryState q = byToken.get(token);
         if (q != null) {
             q.armedAt = Double.POSITIVE_INFINITY;
-            review(q);
+            if (clock < q.dueAt) {
+                arm(q); // nothing can be due: the timer only tells a stall
+            } else {
+                review(q);
+            }
         } else if (token == 0 && settings.listOnRequest()) {
             actions.subscribe();
         }
@@ -351,10 +281,13 @@
     private void cover(QueryState q, List<PartState> todo) {
         freshPaces();
         List<PartState> left = new ArrayList<>(todo);
+        left.forEach(p -> p.able = null);
         double wanted = q.secondStep || q.klass.completeFrom() == 1
                 ? Double.POSITIVE_INFINITY : q.klass.completeFrom() - ROUNDING;
-        double planned = q.step.stream().filter(p -> p.done || p.live > 0)
-                .mapToDouble(p -> p.told.weight()).sum();
+        double planned = 0;
+        for (PartState p : q.step) {
+            planned += p.done || p.live > 0 ? p.told.weight() : 0;
+        }
         while (!left.isEmpty()) {
             Map<Leaf, List<PartState>> held = holdings(left);
             Leaf best = null;
@@ -374,8 +307,13 @@
                 if (planned >= wanted && !again) {
                     return;
                 }
-                send(p, most == 1 ? leastLoaded(p, best) : best);
+                Leaf to = most == 1 ? leastLoaded(p, best) : best;
+                send(p, to);
                 left.remove(p);
+                // What was sent changes the choice for that server's other parts, and for no more.
+                for (PartState other : left) {
+                    other.able = holders(other).contains(to) ? null : other.able;
+                }
                 planned += p.live > 1 || again ? 0 : p.told.weight();
             }
         }
@@ -385,7 +323,8 @@
     private Map<Leaf, List<PartState>> holdings(List<PartState> left) {
         Map<Leaf, List<PartState>> held = new TreeMap<>((x, y) -> Long.compare(x.id, y.id));
         for (PartState p : left) {
-            for (Leaf leaf : choices(p)) {
+            p.able = p.able == null ? choices(p) : p.able;
+            for (Leaf leaf : p.able) {
                 held.computeIfAbsent(leaf, l -> new ArrayList<>()).add(p);
             }
         }
@@ -394,7 +333,7 @@
 
     private Leaf leastLoaded(PartState p, Leaf otherwise) {
         Leaf best = otherwise;
-        for (Leaf leaf : choices(p)) {
+        for (Leaf leaf : p.able) {
             if (before(leaf, best, p.query.told.key())) {
                 best = leaf;
             }
@@ -421,23 +360,49 @@
 
     /** Replicas that may take a part now, without those passed over. */
     private List<Leaf> choices(PartState p) {
-        List<Leaf> able = holders(p);
-        able.removeIf(l -> room(l) == 0 || l.restsUntil > clock
-                || p.attempts.stream().anyMatch(a -> !a.ended && a.leaf == l));
-        keep(able, able.stream().filter(l -> p.attempts.stream().noneMatch(a -> a.leaf == l)).toList());
+        List<Leaf> all = holders(p);
+        List<Leaf> able = new ArrayList<>(all.size());
         // What has more out than it can answer in time gets nothing while a fellow can, if only soon.
         double inTime = SHED_AT * Math.min(p.query.softAt - clock, aim);
-        if (holders(p).stream().anyMatch(l -> wait(l) <= inTime)) {
-            able.removeIf(l -> wait(l) > inTime);
+        boolean fellow = false;
+        for (Leaf l : all) {
+            fellow |= wait(l) <= inTime;
+        }
+        boolean fresh = false;
+        for (Leaf l : all) {
+            if (l.restsUntil <= clock && room(l) > 0 && !tried(p, l, true)) {
+                able.add(l);
+                fresh |= !tried(p, l, false);
+            }
         }
+        boolean untried = fresh;
+        able.removeIf(l -> untried && tried(p, l, false));
+        boolean soon = fellow;
+        able.removeIf(l -> soon && wait(l) > inTime);
         // Half-open: a server on trial holds one call at a time and no unsafe part, while others can serve.
         boolean once = p.query.klass.effect() == Effect.UNSAFE;
-        keep(able, able.stream().filter(l -> l.trusted || !once && mayTry(l)).toList());
-        double least = able.stream().mapToDouble(this::burden).min().orElse(0);
-        able.removeIf(l -> burden(l) > least + (l.pace > 1 ? 0 : 1));
+        List<Leaf> sure = new ArrayList<>(able);
+        sure.removeIf(l -> !l.trusted && (once || !mayTry(l)));
+        able = sure.isEmpty() ? able : sure;
+        double least = Double.POSITIVE_INFINITY;
+        for (Leaf l : able) {
+            least = Math.min(least, burden(l));
+        }
+        double most = least;
+        able.removeIf(l -> burden(l) > most + (l.pace > 1 ? 0 : 1));
         return able;
     }
 
+    /** Whether a server has or had an attempt of this part. */
+    private static boolean tried(PartState p, Leaf leaf, boolean live) {
+        for (Attempt a : p.attempts) {
+            if (a.leaf == leaf && !(live && a.ended)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Trials follow the root's own rate: else with many sick servers and few queries each would meet one. */
     private boolean mayTry(Leaf leaf) {
         return leaf.calls == 0 && (leaf.goodInRow > 0 || leaf.ejections == 0
@@ -445,17 +410,7 @@
     }
 
     private List<Leaf> holders(PartState p) {
-        List<Leaf> all = new ArrayList<>();
-        for (int j = 0; j < settings.layout().inARow(); j++) {
-            all.addAll(cells.get(Math.floorMod(p.told.shard() + j, cells.size())));
-        }
-        return all;
-    }
-
-    private static void keep(List<Leaf> able, List<Leaf> better) {
-        if (!better.isEmpty()) {
-            able.retainAll(better);
-        }
+        return holders.get(Math.floorMod(p.told.shard(), cells.size()));
     }
 
     /**
@@ -579,9 +534,27 @@
         if (!todo.isEmpty()) {
             cover(q, todo);
         }
+        q.dueAt = due(q);
         arm(q);
     }
 
+    /** When a query must be looked at again if no event of its own comes: at once where a part waits. */
+    private double due(QueryState q) {
+        double due = limit(q);
+        for (PartState p : q.step) {
+            due = p.done ? due : p.live == 0 ? clock : due;
+            for (Attempt a : p.attempts) {
+                due = a.ended ? due : Math.min(due, a.at + HEDGE * typicalTime(a.place) * Math.max(1, sound));
+            }
+        }
+        return due;
+    }
+
+    private double limit(QueryState q) {
+        return Math.min(q.softAt > clock ? q.softAt : q.endAt,
+                q.unsentEndAt > clock ? q.unsentEndAt : Double.MAX_VALUE);
+    }
+
     /** Whether no attempt went out: its client is told while there is time to ask elsewhere. */
     private static boolean unsent(QueryState q) {
         return q.all.stream().allMatch(p -> p.live == 0 && p.provenUnrun());
@@ -624,9 +597,7 @@
     }
 
     private void arm(QueryState q) {
-        double next = q.softAt > clock ? q.softAt : q.endAt;
-        next = Math.min(next, q.unsentEndAt > clock ? q.unsentEndAt : Double.MAX_VALUE);
-        next = Math.min(next, clock + REVIEW_TURNS * settings.turnMs());
+        double next = Math.min(limit(q), clock + REVIEW_TURNS * settings.turnMs());
         if (q.armedAt > next) {
             q.armedAt = next;
             actions.wakeIn(Math.max(0, next - clock), q.token);
@@ -707,7 +678,9 @@
             return;
         }
         pacesAt = clock;
-        List<Double> all = new ArrayList<>();
+        double[] all = new double[leaves.size()];
+        int counted = 0;
+        warm = 0;
         for (Leaf leaf : leaves.values()) {
             double waited = leaf.out.isEmpty() || stall ? 0
                     : (clock - leaf.out.get(0).at) / typicalTime(leaf.out.get(0).place) / SILENCE;
@@ -716,15 +689,17 @@
             double quiet = clock - Math.max(leaf.servedAt, leaf.busyFrom);
             leaf.quiet = leaf.silent || !leaf.out.isEmpty() && !stall
                     && quiet > OUTLIER * Math.max(typicalTime(0), leaf.gap);
+            warm += leaf.ready && !cold(leaf) ? 1 : 0;
             if (leaf.ready && !leaf.quiet) {
-                all.add(leaf.pace);
+                all[counted++] = leaf.pace;
             }
         }
-        all.sort(null);
-        sound = all.isEmpty() ? 1 : Math.max(0.7, all.get(all.size() / 2));
+        Arrays.sort(all, 0, counted);
+        sound = counted == 0 ? 1 : Math.max(0.7, all[counted / 2]);
         for (Leaf leaf : leaves.values()) {
             // One that answers nothing at all is no part of its shard's jam, whatever its fellows do.
-            double alike = leaf.quiet ? sound : Math.max(sound, peersLateness(leaf));
+            double alike = leaf.quiet || leaf.pace < OUTLIER * sound ? sound
+                    : Math.max(sound, peersLateness(leaf));
             leaf.pace /= alike;
             if (leaf.pace < OUTLIER) {
                 leaf.pace = 1;
@@ -804,7 +779,7 @@
     private double creditRate(Leaf leaf) {
         double age = Math.max(0, clock - leaf.listed.startedMs());
         double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / rules.coldMs());
-        long warm = leaves.values().stream().filter(l -> l.ready && !cold(l)).count();
+        freshPaces();
         completed(0);
         return COLD_CARE * rules.fallMultiple() * ramp * doneUnits / (2 * aim) / Math.max(1, warm);
     }
@@ -905,8 +880,14 @@
 
     /** Parts that wait for a holder which may take them. */
     private long waiting(int cell) {
-        return queries.values().stream().flatMap(q -> q.step.stream()).filter(p -> !p.done && p.live == 0
-                && Math.floorMod(p.told.shard(), cells.size()) == cell).count();
+        long count = 0;
+        for (QueryState q : queries.values()) {
+            for (PartState p : q.step) {
+                boolean here = Math.floorMod(p.told.shard(), cells.size()) == cell;
+                count += here && !p.done && p.live == 0 ? 1 : 0;
+            }
+        }
+        return count;
     }
 
     private boolean overShare(int tenant) {
--- /dev/null
+++ b/src/main/java/reeldeal/decide/Held.java
@@ -0,0 +1,102 @@
+package reeldeal.decide;
+
+import java.util.ArrayList;
+import java.util.List;
+import reeldeal.decide.Aggregator.Part;
+import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.QueryClass;
+import reeldeal.decide.Aggregator.Server;
+
+/** What a root holds of servers, calls, attempts, parts and queries; {@link Choice} decides on it. */
+final class Held {
+    private Held() { }
+
+    static final class Leaf {
+        final long id;
+        Server listed;
+        boolean ready, trusted, silent, quiet; // silent: what it was sent last came to nothing
+        int goodInRow, ejections, calls;
+        double slowness = 1, pace = 1, lateness = 1;
+        double slownessAt, restsUntil, trialAt, credit, creditAt = -1, leftAt;
+        double gap, servedAt, busyFrom;
+        Call open;
+        final List<Attempt> out = new ArrayList<>();
+
+        Leaf(long id, boolean trusted) {
+            this.id = id;
+            this.leftAt = Double.MAX_VALUE;
+            this.trusted = trusted;
+        }
+    }
+
+    static final class Call {
+        final double at;
+        int parts, live;
+
+        Call(double at) {
+            this.at = at;
+        }
+    }
+
+    static final class Attempt {
+        final PartState part;
+        final Leaf leaf;
+        final Call call;
+        final int place;
+        final double at;
+        boolean ended, cancelled, neverRan;
+
+        Attempt(PartState part, Leaf leaf) {
+            this.part = part;
+            this.leaf = leaf;
+            call = leaf.open;
+            place = call.parts++;
+            at = call.at;
+        }
+    }
+
+    static final class PartState {
+        final Part told;
+        final QueryState query;
+        final List<Attempt> attempts = new ArrayList<>();
+        List<Leaf> able; // what the cover under way may choose from
+        int live;
+        boolean done;
+
+        PartState(Part told, QueryState query) {
+            this.told = told;
+            this.query = query;
+        }
+
+        boolean provenUnrun() {
+            return attempts.stream().allMatch(a -> a.neverRan);
+        }
+    }
+
+    static final class QueryState {
+        final Query told;
+        final QueryClass klass;
+        final int token;
+        final List<PartState> all = new ArrayList<>();
+        List<PartState> step = new ArrayList<>();
+        double weightIn, begun, softAt, endAt, unsentEndAt, dueAt;
+        int partsIn;
+        double mostInAfter = Double.POSITIVE_INFINITY, armedAt = Double.POSITIVE_INFINITY;
+        boolean firstWhole, secondStep, ended;
+
+        QueryState(Query told, QueryClass klass, int token) {
+            this.told = told;
+            this.klass = klass;
+            this.token = token;
+        }
+
+        /** Whether an answer of less than the whole may be given. */
+        boolean partial() {
+            return klass.leastShare() < klass.completeFrom();
+        }
+
+        boolean floorIn() {
+            return weightIn >= klass.leastShare() - Choice.ROUNDING;
+        }
+    }
+}
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -45,7 +45,18 @@
     /** What the pool keeps to: parts on a connection, the searchers' idle limit, time to connect. */
     public record Bounds(int partsPerConnection, double idleMs, int connectTimeoutMs, int connections) { }
 
-    private record Key(long part, int attempt) { }
+    /** An attempt; hashed by plain code, since a record's own is linked at its first use, under a first query. */
+    private record Key(long part, int attempt) {
+        @Override
+        public int hashCode() {
+            return Long.hashCode(part) * 31 + attempt;
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Key k && k.part == part && k.attempt == attempt;
+        }
+    }
 
     /** A part that is out on a connection: when it was handed to the socket, and whether that took it whole. */
     private static final class Out {
