--- a/src/main/java/reeldeal/platform/PlatformFront.java
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Pattern;
 import reeldeal.core.Port;
@@ -75,7 +74,7 @@
             }
             // No client waits longer than its class: a greater figure must not hold room for longer.
             double longest = settings.classes().get(klass).deadlineMs();
-            double wait = left == null ? longest : Math.min(longest, Double.parseDouble(left));
+            double wait = left == null ? longest : Math.min(longest, Long.parseLong(left));
             long id = port.nextRequest();
             exchange.onGone(() -> port.gone(id));
             port.submit(new Request(id, name, klass, keyed ? key : null, now + wait,
@@ -89,7 +88,7 @@
             exchange.respond(200, JSON, QueryBody.answer(served));
         } else if (reply instanceof Reply.Refused refused) {
             exchange.respond(503, refused.comeBackMs() <= 0 ? PLAIN : Map.of("Content-Type", "text/plain",
-                    "Retry-After", String.format(Locale.ROOT, "%.3f", refused.comeBackMs() / 1000)),
+                    "Retry-After", seconds(refused.comeBackMs())),
                     "refused\n".getBytes(StandardCharsets.UTF_8));
         } else if (reply instanceof Reply.Invalid invalid) {
             plain(exchange, 409, invalid.why());
@@ -98,6 +97,12 @@
         }
     }
 
+    /** Milliseconds as seconds with three places; a formatter's first use would cost a refusal much of its time. */
+    private static String seconds(double ms) {
+        long whole = Math.round(ms);
+        return whole / 1000 + "." + String.valueOf(1000 + whole % 1000).substring(1);
+    }
+
     private static void plain(Exchange exchange, int status, String text) {
         exchange.respond(status, PLAIN, (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
