Learn a silent searcher from one attempt; give cold ones the share that settings tell

A broker meets such a one every second or two: one silence left its slowness under the outlier's bound and had faded by the next; a late attempt at the one holder that answers was called off for fellows that do not. Some typical times were 1 ms, from answers read after a broker's own standstill.

Change: a silent attempt of three typical times ejects; where none is trusted, what answered last goes first; nothing is called off without a trusted fellow; an answer counts for a call's work at least; a cold searcher's credit is the greater of own work and of what MostHeld and the listed searchers tell; a connection has a quarter of the shortest aim.

--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -43,6 +43,8 @@
     private static final double UNSENT_SHARE = 0.5; // of a client's time, after which nothing unsent is held
     private static final double FIRST_GUESS = 0.2; // of the aim: typical time before any answer has come
     private static final double COLD_CARE = 0.7; // of a cold server's stated budget, for lumps and peers
+    private static final double HELD_MS = 4000; // of its share of full load: more than a root may hold
+    private static final int HELD_LEAST = 4; // longest queries: what a root may hold however small its share
     private static final double SHED_AT = 0.65; // of the time left: wait from which queries are refused
     private static final double OVER_SHARE_AT = 0.4; // of that wait, for queries beyond a tenant's share
     private static final double LATE_MATTERS = 0.2; // worth of a late answer from which it is waited for
@@ -74,7 +76,7 @@
     private double takenCount, clock, sound = 1, pacesAt = -1;
     private double queryGap, queryAt, nextTrial;
     private double doneUnits, doneAt, meanDensity, logAt;
-    private int partsOut, held, warm, nextToken = 1;
+    private int partsOut, held, warm, listed, longest, nextToken = 1;
     private boolean shedding, spent, stall;
 
     /** A root that knows nothing yet. */
@@ -157,6 +159,7 @@
         byToken.put(q.token, q);
         held++;
         addParts(q, given);
+        longest = Math.max(longest, 1 + q.all.size());
         limits(q);
         if (!admitted(q)) {
             actions.refuse(told.id(), Math.min(settings.limits().maxComeBackMs(), aim / 4));
@@ -381,9 +384,12 @@
         able.removeIf(l -> soon && wait(l) > inTime);
         // Half-open: a server on trial holds one call at a time and no unsafe part, while others can serve.
         boolean once = p.query.klass.effect() == Effect.UNSAFE;
+        List<Leaf> maybe = List.copyOf(able);
         List<Leaf> sure = new ArrayList<>(able);
         sure.removeIf(l -> !l.trusted && (once || !mayTry(l)));
-        able = sure.isEmpty() ? able : sure;
+        // Among those in doubt, what answered last goes before what did not.
+        able.removeIf(l -> l.silent);
+        able = new ArrayList<>(!sure.isEmpty() ? sure : !able.isEmpty() ? able : maybe);
         double least = Double.POSITIVE_INFINITY;
         for (Leaf l : able) {
             least = Math.min(least, burden(l));
@@ -491,7 +497,8 @@
         double waited = clock - a.at;
         boolean copies = settings.limits().secondCopies();
         return waited > HEDGE * typicalTime(a.place) * Math.max(1, sound)
-                && (a.leaf.pace > 1 && holders(a.part).stream().anyMatch(l -> l.pace < a.leaf.pace)
+                && (a.leaf.pace > 1 && holders(a.part).stream().anyMatch(l -> l.pace < a.leaf.pace
+                && l.trusted && !l.silent)
                 || copies && waited > TAIL_WAIT * a.part.query.mostInAfter);
     }
 
@@ -618,7 +625,9 @@
             return;
         } else if (outcome == Outcome.OK) {
             int i = a.place;
-            double sample = typicalSeen[i] == 0 ? elapsedMs : Math.min(elapsedMs, 4 * typical[i]);
+            // An answer takes a call's work at least: a shorter time is that of a root that stood still.
+            double took = Math.max(elapsedMs, settings.layout().callWorkMs());
+            double sample = typicalSeen[i] == 0 ? took : Math.min(took, 4 * typical[i]);
             typicalSeen[i]++;
             typical[i] += (sample - typical[i]) * Math.max(FLEET_GAIN, 1.0 / typicalSeen[i]);
             completed(i == 0 ? 1 + callUnits() : 1);
@@ -644,7 +653,10 @@
         leaf.slownessAt = clock;
         boolean good = outcome == Outcome.OK && ratio < OUTLIER * Math.max(1, sound);
         leaf.goodInRow = good ? leaf.goodInRow + 1 : 0;
-        if (!leaf.trusted && !good) {
+        // Silence while others answer is told by one attempt: a root of many meets the server seldom again.
+        boolean mute = leaf.silent && (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED
+                || outcome == Outcome.CONNECT_FAILED) && elapsedMs > OUTLIER * sound * typicalTime(a.place);
+        if (!good && (!leaf.trusted || mute)) {
             eject(leaf);
         }
         if (!leaf.trusted && leaf.goodInRow >= TRIAL_ANSWERS) {
@@ -680,7 +692,7 @@
         pacesAt = clock;
         double[] all = new double[leaves.size()];
         int counted = 0;
-        warm = 0;
+        warm = listed = 0;
         for (Leaf leaf : leaves.values()) {
             double waited = leaf.out.isEmpty() || stall ? 0
                     : (clock - leaf.out.get(0).at) / typicalTime(leaf.out.get(0).place) / SILENCE;
@@ -689,6 +701,7 @@
             double quiet = clock - Math.max(leaf.servedAt, leaf.busyFrom);
             leaf.quiet = leaf.silent || !leaf.out.isEmpty() && !stall
                     && quiet > OUTLIER * Math.max(typicalTime(0), leaf.gap);
+            listed += leaf.ready ? 1 : 0;
             warm += leaf.ready && !cold(leaf) ? 1 : 0;
             if (leaf.ready && !leaf.quiet) {
                 all[counted++] = leaf.pace;
@@ -781,7 +794,19 @@
         double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / rules.coldMs());
         freshPaces();
         completed(0);
-        return COLD_CARE * rules.fallMultiple() * ramp * doneUnits / (2 * aim) / Math.max(1, warm);
+        double own = doneUnits / (2 * aim) / Math.max(1, warm);
+        return COLD_CARE * rules.fallMultiple() * ramp * Math.max(own, toldShare());
+    }
+
+    /**
+     * A server's capacity by what the settings let a root hold, over the roots: in parts a millisecond, a
+     * call's work counted. One that has just started has seen nothing done, and all may have started at once.
+     * Where a root may hold little more than a few queries, that says nothing of its share of the load.
+     */
+    private double toldShare() {
+        int most = settings.limits().maxHeld();
+        return most == Integer.MAX_VALUE || most <= HELD_LEAST * longest ? 0
+                : (1 + callUnits()) * most / HELD_MS / Math.max(1, listed);
     }
 
     // ---- admission ----
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -37,6 +37,7 @@
     private static final double DRAIN_END_MS = 3_400; // ... is answered by then: a kill is 3.7 s away at least
     private static final long MAX_UNREAD = 8L << 20; // bytes of messages being read, for each front
     private static final int SWEEP_MS = 1_000;
+    private static final double CONNECT_SHARE = 0.25; // of the shortest aim, for a connection to come up
 
     private final Config config;
     private final EventLoopGroup group;
@@ -68,7 +69,7 @@
         this.config = config;
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
         Outlet frames = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
-                config.connectTimeoutMs(), config.sockets() / 4), config.settings().loadColumns(), clock::now,
+                connectTimeoutMs(config), config.sockets() / 4), config.settings().loadColumns(), clock::now,
                 this::event, Broker::log);
         this.searchers = config.search() == null ? frames : new ByKind(frames, new SearchOutlet(group,
                 config.idleMs(), config.connectTimeoutMs(), clock::now, this::event),
@@ -104,6 +105,15 @@
         log("serving as " + config.name() + " on " + platform.address());
     }
 
+    /**
+     * For how long a connection to a searcher may take to come up: as long as the settings say, and no longer than
+     * leaves most of the shortest aim to a fellow. A part on it has not run, so that it costs nothing to go on.
+     */
+    static int connectTimeoutMs(Config config) {
+        double aim = config.settings().classes().stream().mapToDouble(c -> c.aimMs()).min().orElseThrow();
+        return (int) Math.max(1, Math.min(config.connectTimeoutMs(), aim * CONNECT_SHARE));
+    }
+
     private Watch watchAt(InetSocketAddress address, Runnable heard) {
         return new Watch(group, address, event -> {
             if (discovered != null && event instanceof Event.Told told) {
--- a/src/test/java/reeldeal/decide/FailureTest.java
+++ b/src/test/java/reeldeal/decide/FailureTest.java
@@ -330,6 +330,7 @@
     @Test
     void whereOnlyAColdServerWithoutCreditIsLeftAQueryIsRefusedAtOnce() {
         Bed bed = new Bed();
+        bed.maxHeld = Integer.MAX_VALUE; // no share of the load is told
         bed.secondCopies = false;
         bed.start(1);
         bed.teach(40, 0, 1, 2, 3);
@@ -431,4 +432,79 @@
         }
         assertTrue(bed.root.remembered() <= 4 + 11, bed.root.remembered() + " remembered");
     }
+
+    /** A root of many meets a server once in seconds: its second silence would come when the first is forgotten. */
+    @Test
+    void oneSilentAttemptIsEnoughToPassAServerOver() {
+        Bed bed = warm();
+        bed.ask(1, 0);
+        Bed.Sent silent = bed.sends(1).get(0);
+        bed.pass(400);
+        bed.done(silent.part(), 0, Outcome.TIMEOUT, 400);
+        bed.pass(50);
+        bed.sends(1).stream().filter(s -> s.number() > 0).forEach(s -> bed.done(s.part(), s.number(), Outcome.OK, 50));
+        bed.pass(1000);
+        for (int i = 2; i < 6; i++) {
+            bed.ask(i, 0);
+            assertTrue(bed.sends(i).get(0).server() != silent.server(), "query " + i);
+            bed.pass(100);
+            bed.done(bed.sends(i).get(0).part(), 0, Outcome.OK, 100);
+        }
+    }
+
+    /** To call off the one that answers, for fellows that do not, would lose its answer and gain none. */
+    @Test
+    void aLateAttemptIsNotCalledOffWhereNoTrustedFellowIsLeft() {
+        Bed bed = new Bed();
+        bed.secondCopies = false;
+        bed.start(2);
+        bed.teach(40, 0, 1, 2, 3);
+        bed.ask(1, 0);
+        Bed.Sent silent = bed.sends(1).get(0);
+        bed.pass(500);
+        bed.done(silent.part(), 0, Outcome.CANCELLED, 500);
+        bed.pass(20);
+        Bed.Sent fellow = bed.sends(1).get(1);
+        assertTrue(fellow.server() != silent.server());
+        int called = bed.cancelled.size();
+        bed.pass(700);
+        assertEquals(called, bed.cancelled.size());
+    }
+
+    /** A root that stood still reads answers that took no time: they must not make all others look late. */
+    @Test
+    void anAnswerInLessThanACallsWorkIsNotTakenForTypical() {
+        Bed bed = new Bed();
+        bed.start(3);
+        bed.ask(1, 0);
+        bed.done(bed.sends(1).get(0).part(), 0, Outcome.OK, 1);
+        bed.ask(2, 0);
+        bed.pass(140); // under three times a call's work of 50 ms
+        assertEquals(1, bed.sends(2).size());
+        bed.ask(3, 0);
+        assertEquals("", bed.end(3));
+    }
+
+    /** A root that has just started has seen no work done, and may find a cell in which all servers are cold. */
+    @Test
+    void aFreshRootGivesColdServersTheShareThatTheSettingsTell() {
+        Bed bed = new Bed();
+        bed.instances = 10;
+        bed.maxHeld = 200;
+        bed.rules = new Aggregator.Rules(250, 0.25, 10000, 2, 2000, 0, 0, 0, 10000);
+        bed.start(1);
+        bed.change(Bed.server(0, 0, bed.now, Aggregator.Listed.READY));
+        int sent = 0;
+        for (int i = 1; i <= 20; i++) {
+            bed.ask(i, 0);
+            bed.pass(100);
+            for (Bed.Sent s : bed.sends(i)) {
+                bed.done(s.part(), s.number(), Outcome.OK, 50);
+                sent++;
+            }
+        }
+        assertTrue(sent >= 4, sent + " of 20");
+        // 200 held over 4 s and 4 servers are 25 units a second at full capacity, a part's call counting two.
+        assertTrue(sent <= 1 + 2 * 0.25 * 1.75 * 25 / 2 * 2, sent + " of 20");
+    }
 }
--- /dev/null
+++ b/src/test/java/reeldeal/decide/FleetTest.java
@@ -0,0 +1,75 @@
+package reeldeal.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a hundred roots do together, each for itself, to sixty searchers. */
+class FleetTest {
+    private static final int ROOTS = 100, HELD = 85;
+
+    @Test
+    void onACalmDayUnevenRootsAreServedInTimeWithoutProbesOrListCalls() {
+        Fleet fleet = new Fleet(4, ROOTS, HELD);
+        fleet.zoneSkew = 4;
+        fleet.load(575, 6000);
+        fleet.run(8000);
+        assertTrue(fleet.queries > 3000);
+        assertEquals(fleet.queries, fleet.inTime + fleet.late + fleet.refused);
+        assertTrue(fleet.inTime >= 0.99 * fleet.queries, fleet.inTime + " of " + fleet.queries);
+        assertEquals(0, fleet.probes + fleet.listCalls);
+    }
+
+    @Test
+    void halfOfTheSearchersColdAtOnceAreNotPushedOver() {
+        checkCold(2, false);
+    }
+
+    @Test
+    void norAreTheyWhereSevenInTenRootsHaveJustRestarted() {
+        checkCold(2, true);
+    }
+
+    private static void checkCold(long seed, boolean restart) {
+        Fleet fleet = new Fleet(seed, ROOTS, HELD);
+        fleet.load(400, 9000);
+        fleet.run(2000);
+        List<Fleet.Searcher> cold = new ArrayList<>();
+        for (int i = 0; i < Fleet.CELLS * Fleet.PER_CELL / 2; i++) {
+            cold.add(fleet.replace(i));
+        }
+        for (int i = 0; restart && i < 7 * ROOTS / 10; i++) {
+            fleet.restart(i);
+        }
+        fleet.run(10_000);
+        for (Fleet.Searcher s : cold) {
+            assertTrue(fleet.worstPush(s) < Fleet.RULES.fallMultiple(), s.id + ": " + fleet.worstPush(s));
+        }
+        assertTrue(fleet.inTime >= 0.8 * fleet.queries, fleet.inTime + " of " + fleet.queries);
+    }
+
+    /** Two of three holders hang in five cells of twenty: what each root meets of them is one part in seconds. */
+    @Test
+    void searchersThatHangAreLearntByRootsThatMeetThemSeldom() {
+        Fleet fleet = new Fleet(3, ROOTS, HELD);
+        for (int c = 0; c < 5; c++) {
+            fleet.searchers.get(c * 4).hung = true;
+            fleet.searchers.get(c * 4 + Fleet.CELLS).hung = true;
+        }
+        fleet.load(450, 8000);
+        fleet.run(2000);
+        long early = sentToHung(fleet);
+        fleet.run(6000);
+        long later = sentToHung(fleet) - early;
+        fleet.run(2000);
+        assertTrue(later < 0.7 * 3 * early, later + " in 6 s after " + early + " in the first 2 s");
+        assertTrue(fleet.inTime >= 0.45 * fleet.queries, fleet.inTime + " of " + fleet.queries);
+    }
+
+    private static long sentToHung(Fleet fleet) {
+        return fleet.searchers.stream().filter(s -> s.hung).mapToLong(s -> s.sentAt.size()).sum();
+    }
+}
--- a/src/test/java/reeldeal/decide/RulesTest.java
+++ b/src/test/java/reeldeal/decide/RulesTest.java
@@ -114,6 +114,7 @@
     @Test
     void aColdServerThatIsTheOnlyReplicaIsStillHeldToItsBudget() {
         Bed bed = new Bed();
+        bed.maxHeld = Integer.MAX_VALUE; // no share of the load is told
         bed.start(1);
         bed.change(Bed.server(0, 0, bed.now, Listed.READY));
         for (int i = 0; i < 20; i++) {
@@ -227,6 +228,7 @@
             Bed bed = new Bed();
             bed.seed = 1000 + r;
             bed.instances = 60;
+            bed.maxHeld = Integer.MAX_VALUE; // no share of the load is told
             bed.start(3);
             bed.teach(4, 0, 1, 2, 3);
             bed.pass(2000);
