Give the test of attempts that are not called off the time in which they would be

Seen on running the tests without the fixes: this one passed, since so near its aim nothing is called off anyway. With an aim of 4 s it fails without the condition on trusted fellows (two called off, one expected) and passes with it.

--- a/src/test/java/reeldeal/decide/FailureTest.java
+++ b/src/test/java/reeldeal/decide/FailureTest.java
@@ -457,9 +457,10 @@
     void aLateAttemptIsNotCalledOffWhereNoTrustedFellowIsLeft() {
         Bed bed = new Bed();
         bed.secondCopies = false;
+        bed.classes.set(0, new Aggregator.QueryClass(4000, 0, 6000, 1, 0, Aggregator.Effect.SAFE, 2000, 1, 1, 0.9, 0));
         bed.start(2);
         bed.teach(40, 0, 1, 2, 3);
-        bed.ask(1, 0);
+        bed.ask(1, 0, bed.now + 6000, 0);
         Bed.Sent silent = bed.sends(1).get(0);
         bed.pass(500);
         bed.done(silent.part(), 0, Outcome.CANCELLED, 500);
