Let a broker start where its settings tell no number of shards

Seen on reading the change again: FamilyInfo.Ranges may be missing and is 0 then; the practice queries divided by it, so that such a broker refused to start. Change: one shard is practised with.

--- a/src/main/java/reeldeal/serve/Practice.java
+++ b/src/main/java/reeldeal/serve/Practice.java
@@ -74,10 +74,11 @@
 
     private void ask(int i) {
         int klass = i % config.classes().size();
-        int parts = Math.max(1, Math.min(MOST_PARTS, config.shards()));
+        int shards = Math.max(1, config.shards()); // none where the settings tell no number of them
+        int parts = Math.min(MOST_PARTS, shards);
         StringBuilder body = new StringBuilder("{\"shards\":[");
         for (int p = 0; p < parts; p++) {
-            body.append(p == 0 ? "" : ",").append("{\"shard\":").append((i + p) % config.shards())
+            body.append(p == 0 ? "" : ",").append("{\"shard\":").append((i + p) % shards)
                     .append(",\"weight\":").append(1.0 / parts).append(",\"cost\":9000}");
         }
         body.append("],\"q\":\"c41e77d0\"}");
