--- a/src/test/java/reeldeal/decide/Fleet.java
+++ b/src/test/java/reeldeal/decide/Fleet.java
@@ -40,7 +40,6 @@
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
         private int busy;
         boolean hung;
-        double slow = 1;
 
         Searcher(long id, int cell, double started) {
             this.id = id;
@@ -72,10 +71,9 @@
             while (busy < CORES && !queue.isEmpty()) {
                 Job job = queue.poll();
                 busy++;
-                double work = (CALL + PART * (0.5 + random.nextDouble())) * slow / share(now);
+                double work = (CALL + PART * (0.5 + random.nextDouble())) / share(now);
                 after(work, () -> {
                     busy--;
-                    worked += work;
                     after(NET, () -> job.root.ended(job, Outcome.OK));
                     begin();
                 });
@@ -91,6 +89,7 @@
         private final Map<Long, Integer> attempts = new HashMap<>();
         private final Map<String, Job> out = new HashMap<>();
         private final Map<Long, Double> asked = new HashMap<>();
+        private boolean dead;
 
         Root(int self, int instances) {
             choice = new Choice(now, new Settings(1000 + self, self, instances, self % 3, TURN, false,
@@ -163,7 +162,11 @@
 
         @Override
         public void wakeIn(double delayMs, int token) {
-            after(Math.max(TURN, delayMs), () -> choice.timer(now, token));
+            after(Math.max(TURN, delayMs), () -> {
+                if (!dead) {
+                    choice.timer(now, token);
+                }
+            });
         }
 
         @Override
@@ -188,7 +191,6 @@
     private final int held;
     double now;
     double zoneSkew = 1; // how much more the first zone's roots are asked
-    double worked;
     long queries, sent, inTime, late, refused, full, probes, listCalls;
     private long order;
 
@@ -220,11 +222,11 @@
             weights += weight(i);
         }
         for (int i = 0; i < roots.size(); i++) {
-            Root root = roots.get(i);
+            int self = i;
             double gap = 1000 / (perSecond * weight(i) / weights);
             for (double at = gap * random.nextDouble(); at < forMs; at -= gap * Math.log(1 - random.nextDouble())) {
                 int parts = 1 + random.nextInt(9);
-                after(at, () -> root.ask(parts));
+                after(at, () -> roots.get(self).ask(parts));
             }
         }
     }
@@ -247,9 +249,9 @@
 
     /** A root that is killed and starts again with nothing but the list. */
     void restart(int index) {
-        Root old = roots.get(index);
-        roots.set(index, new Root(index, roots.size()));
+        Root old = roots.set(index, new Root(index, roots.size()));
         old.out.clear();
+        old.dead = true;
     }
 
     void run(double ms) {
