Take writes at any node, follow as a learner, change a running group's members by command

Change: Lanes forwards conditional writes to whoever leads, once each by session and number, unknown told as unknown; Links holds the connections that stood in Store; a node tells its level to whoever connects, which programs before it ignore; Admin and Reshape add, promote, demote, remove and replace nodes, refused with a reason where no majority would be in reach. From level 2 on sessions of pinned members are not forgotten. A command of a later form has a node stop following with one line.

Seen on the way: a learner added to a quiet group got nothing until the next write. Raft.configure set its next entry behind the last, so that send found nothing to probe with; ruled out were links and levels (heard, behind=5 stayed). It now probes with the last entry. RejectedExecutionException at a close: flush ran after the disk's thread had ended.

--- a/src/main/java/reeldeal/cli/StoreCommands.java
+++ b/src/main/java/reeldeal/cli/StoreCommands.java
@@ -90,7 +90,7 @@
             State state = State.fromBytes(disk.snapshot().data());
             disk.entries().forEach(e -> state.apply(e.index(), e.data(), new java.util.ArrayList<>()));
             return state;
-        } catch (IOException e) {
+        } catch (IOException | State.LaterForm e) {
             throw new Commands.Failed(Commands.REFUSED, e.getMessage());
         }
     }
--- a/src/main/java/reeldeal/config/StoreFile.java
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import reeldeal.config.Config.Invalid;
 import reeldeal.store.StoreConfig;
 import reeldeal.zones.ZonesConfig;
@@ -61,7 +63,20 @@
             throw new Invalid("store backup.every_s: expected a whole number of seconds above 0, found " + every);
         }
         // "writer" and "term" named a writer by hand before version 0.4; the group elects one now.
-        StoreConfig store = new StoreConfig(values.getOrDefault("group", "default"), node, nodes, joins.equals("true"), Path.of(text(values, "folder")), backup == null ? null : Path.of(backup), Long.parseLong(every) * 1_000);
+        Set<String> voters = new TreeSet<>();
+        for (String voter : values.getOrDefault("voters", "").split("[, ]+")) {
+            if (!voter.isEmpty() && !nodes.containsKey(voter)) {
+                throw new Invalid("store voters: " + voter + " is not among nodes");
+            } else if (!voter.isEmpty()) {
+                voters.add(voter);
+            }
+        }
+        if (joins.equals("true") && (nodes.size() < 2 || voters.equals(Set.of(node)))) {
+            throw new Invalid("store joins: expected nodes of the group that is joined among nodes");
+        }
+        StoreConfig store = new StoreConfig(values.getOrDefault("group", "default"), node, nodes, voters,
+                joins.equals("true"), Path.of(text(values, "folder")), backup == null ? null : Path.of(backup),
+                Long.parseLong(every) * 1_000);
         return new StoreFile(store, values.keySet().stream().anyMatch(k -> k.startsWith("dns.")) ? ZonesFile.read(values)
                 : null);
     }
--- a/src/main/java/reeldeal/consensus/Raft.java
+++ b/src/main/java/reeldeal/consensus/Raft.java
@@ -58,6 +58,7 @@
         Snapshot sending;
         int offset;
         boolean heard;
+        long heardTick = Long.MIN_VALUE / 2;
         boolean lost;
         long read;
     }
@@ -161,6 +162,27 @@
         return log.term(index);
     }
 
+    /**
+     * How a node stands, as far as this one knows: whether it was heard within an election time, and how many of the
+     * leader's entries are not known to be on its disk.
+     */
+    public record Standing(boolean heard, long behind) { }
+
+    /** How a member stands with this leader; a node that does not lead hears nobody. */
+    public Standing standing(String node) {
+        Peer peer = role == Role.LEADER ? peers.get(node) : null;
+        if (role == Role.LEADER && node.equals(id)) {
+            return new Standing(true, log.last() - durableIndex());
+        }
+        return peer == null ? new Standing(false, Long.MAX_VALUE)
+                : new Standing(ticks - peer.heardTick <= settings.electionTicks(), log.last() - peer.match);
+    }
+
+    /** Whether the members that hold now are committed. */
+    public boolean membersCommitted() {
+        return membersIndex <= commit;
+    }
+
     /** What is to be done; each output comes once. */
     public Output take() {
         persist();
@@ -529,6 +551,7 @@
             }
         } else if (role == Role.LEADER && peers.containsKey(m.from())) {
             peers.get(m.from()).heard = true;
+            peers.get(m.from()).heardTick = ticks;
             if (m instanceof Msg.Appended a) {
                 appended(a, peers.get(m.from()));
             } else if (m instanceof Msg.Heard h) {
@@ -671,7 +694,8 @@
             for (String node : members.all()) {
                 if (!node.equals(id) && !peers.containsKey(node)) {
                     Peer peer = new Peer();
-                    peer.next = log.last() + 1;
+                    // Its last entry is sent, to learn where the logs agree: the next write may be long in coming.
+                    peer.next = log.last();
                     peer.heard = true; // it has until the next check
                     peers.put(node, peer);
                 }
--- /dev/null
+++ b/src/main/java/reeldeal/store/Client.java
@@ -0,0 +1,51 @@
+package reeldeal.store;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+
+/** Asks a running node one question over the store's frames, and whoever leads where only that can answer. Blocks. */
+public final class Client {
+    private static final int HOPS = 3;
+
+    private Client() { }
+
+    /** The answer; throws IOException where the node is not there, is of another group or says nothing in time. */
+    public static Store.Answer ask(InetSocketAddress node, String group, String question, int timeoutMs) throws IOException {
+        InetSocketAddress at = node;
+        Store.Answer answer = null;
+        for (int hop = 0; hop < HOPS; hop++) {
+            answer = once(at, group, question, timeoutMs);
+            if (answer.leader().isEmpty()) {
+                return answer;
+            }
+            int colon = answer.leader().lastIndexOf(':');
+            at = new InetSocketAddress(answer.leader().substring(0, colon), Integer.parseInt(answer.leader().substring(colon + 1)));
+        }
+        return answer;
+    }
+
+    private static Store.Answer once(InetSocketAddress node, String group, String question, int timeoutMs) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(node, timeoutMs);
+            socket.setSoTimeout(timeoutMs);
+            byte[] ask = Side.write(group, new Side.Ask(1, question));
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(ask.length);
+            out.write(ask);
+            out.flush();
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                int length = in.readInt();
+                if (length < 1 || length > Links.MAX_FRAME) {
+                    throw new IOException("impossible length " + length);
+                }
+                if (Side.read(group, in.readNBytes(length)) instanceof Side.Answer answer) {
+                    return new Store.Answer(answer.ok(), answer.text(), answer.leader());
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/reeldeal/store/State.java
+++ b/src/main/java/reeldeal/store/State.java
@@ -25,9 +25,22 @@
     public static final long MAX_BYTES = 256L << 20;
     /** A value {@code quota/PREFIX} bounds the bytes that are kept under that first part of a key. */
     public static final String QUOTA = "quota/";
+    /** The forms that commands may have and the rules that they follow: 1, or as the value says. */
+    public static final String LEVEL = "feature/level";
+    /** A value {@code session/NAME} keeps all sessions whose names begin so from being forgotten, from level 2 on. */
+    public static final String PINNED = "session/";
     private static final int MAX_SESSIONS = 1_000;
     private static final int HISTORY = 20_000;
 
+    /** A command of a form that only a later program knows: what it does cannot be told, nor what comes after. */
+    public static final class LaterForm extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        LaterForm(int form) {
+            super("form " + form);
+        }
+    }
+
     /** A condition: the key is at this version, 0 for not there. */
     public record Expect(String key, long version) { }
 
@@ -86,16 +99,27 @@
         return after < forgotten ? null : history.stream().filter(w -> w.version() > after).toList();
     }
 
-    /** Applies the entry at an index; empty data change nothing. {@code changes} takes what was changed. */
+    /** Which forms and rules hold now. */
+    public int level() {
+        Value value = values.get(LEVEL);
+        return value != null && value.text().matches("[0-9]{1,9}") ? Integer.parseInt(value.text()) : 1;
+    }
+
+    /**
+     * Applies the entry at an index; empty data change nothing. {@code changes} takes what was changed. Throws
+     * LaterForm, with nothing changed, where only a later program knows what the entry does.
+     */
     public Outcome apply(long index, byte[] data, List<Change> changed) {
-        version = index;
         if (data.length == 0) {
+            version = index;
             return new Outcome(index, null);
         }
         Command command;
         try {
             command = decode(data);
+            version = index;
         } catch (IOException e) {
+            version = index;
             return new Outcome(index, "malformed command: " + e.getMessage()); // on every node alike
         }
         Session session = command.session().isEmpty() ? null : sessions.get(command.session());
@@ -113,13 +137,20 @@
         if (!command.session().isEmpty()) {
             sessions = sessions.plus(command.session(), new Session(command.number(), outcome, index));
             if (sessions.size() > MAX_SESSIONS) {
-                sessions = sessions.minus(sessions.entrySet().stream().min(java.util.Comparator.comparingLong(
-                        (Map.Entry<String, Session> e) -> e.getValue().at())).orElseThrow().getKey());
+                boolean pins = level() >= 2;
+                sessions.entrySet().stream().filter(e -> !pins || !pinned(e.getKey())).min(
+                        java.util.Comparator.comparingLong((Map.Entry<String, Session> e) -> e.getValue().at()))
+                        .ifPresent(e -> sessions = sessions.minus(e.getKey()));
             }
         }
         return outcome;
     }
 
+    private boolean pinned(String session) {
+        int lane = session.lastIndexOf(':');
+        return lane > 0 && values.containsKey(PINNED + session.substring(0, lane));
+    }
+
     private Outcome judge(long index, Command command) {
         for (Expect expect : command.expects()) {
             Value value = values.get(expect.key());
@@ -211,8 +242,11 @@
 
     static Command decode(byte[] bytes) throws IOException {
         DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
-        if (in.readByte() != 1) {
-            throw new IOException("a command of a later version of the program");
+        int form = in.readByte();
+        if (form > 1) {
+            throw new LaterForm(form);
+        } else if (form < 1) {
+            throw new IOException("no such form: " + form);
         }
         String session = text(in);
         long number = in.readLong();
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -1,19 +1,9 @@
 package reeldeal.store;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import reeldeal.consensus.Entry;
 import reeldeal.consensus.Members;
@@ -31,7 +22,6 @@
 import reeldeal.consensus.Output;
 import reeldeal.consensus.Raft;
 import reeldeal.consensus.Snapshot;
-import reeldeal.frames.FrameBuffer;
 import reeldeal.storage.Folder;
 
 /**
@@ -43,15 +33,14 @@
 public final class Store implements AutoCloseable {
     /** How long a start waits for the group before what lies here is told, as old. */
     public static final int OLD_COPY_MS = 2_000;
+    /** A node's address, for those whose files do not name it. */
+    public static final String NODE_KEY = "node/";
     private static final int TICK_MS = 50;
-    private static final int RETRY_MS = 100;
     private static final int WRITE_TIMEOUT_MS = 2_000;
-    private static final int MAX_FRAME = 4 * 1024 * 1024;
     private static final int MAX_WRITES = 1_000;
     private static final int MAX_COMMAND = 512 * 1024;
     private static final int SEGMENT_BYTES = 4 << 20;
     private static final long COMPACT_BYTES = 16 << 20;
-    private static final long UNSENT_BYTES = 8 << 20;
 
     /** What came of a write. */
     public sealed interface Result { }
@@ -65,6 +54,9 @@
     /** It was begun, but no majority has it in time: it may yet be committed. */
     public record Unknown() implements Result { }
 
+    /** This node took no part in it: another leads, or this one cannot take more. What else was sent is not known. */
+    record Elsewhere(String why) implements Result { }
+
     private static final class Pending {
         final long term;
         final List<Change> changes;
@@ -82,6 +74,7 @@
     private final Consumer<String> log;
     private final Folder folder;
     private final Raft raft;
+    private final String session;
     private State state;
     private final ExecutorService disk;
     private final ExecutorService background;
@@ -89,24 +82,29 @@
     /** Whether one flush serves all that came while the last was written; off only to measure what that is worth. */
     boolean groupCommit = true;
     private boolean diskBusy;
-    private boolean diskFailed;
+    private boolean halted;
     private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
     private final TreeMap<Long, Pending> writes = new TreeMap<>();
-    private final Map<String, Link> links = new HashMap<>();
-    private final List<Channel> accepted = new ArrayList<>();
+    private final Links links;
+    private final Lanes lanes;
+    private final Map<Long, Lanes.Send> forwarded = new HashMap<>();
+    private long nextForward = 1;
+    private boolean lanesPlanned;
     private final List<Consumer<List<Change>>> listeners = new ArrayList<>();
     private final List<Runnable> whenWriting = new ArrayList<>();
     private final List<Runnable> whenCurrent = new ArrayList<>();
     private final List<Consumer<State>> whenOld = new ArrayList<>();
+    private final Map<String, BiConsumer<String, Reply>> asked = new HashMap<>();
+    private BiConsumer<String, byte[]> told = (from, bytes) -> { };
     private State old;
     private boolean wasCurrent;
-    private Channel listener;
     private long logBytes;
     private boolean compacting;
     private boolean writer;
     private boolean current;
     private boolean closed;
     private boolean stepping;
+    private boolean stuck;
 
     /** Opens the node's folder; throws where it cannot be used. */
     public Store(EventLoopGroup group, StoreConfig config, Consumer<String> log) throws IOException {
@@ -115,7 +113,7 @@
         this.log = log;
         Upgrade.run(config.folder(), config.group() + " " + config.node(), log);
         // A node that joins votes only once the group has taken it in.
-        Members first = new Members(config.joins() ? others(config) : config.nodes().keySet(), java.util.Set.of());
+        Members first = config.first();
         folder = Folder.open(config.folder(), config.group() + " " + config.node(), first, SEGMENT_BYTES);
         Raft.OnDisk onDisk = folder.opened().state();
         if (folder.opened().cutBytes() > 0) {
@@ -127,12 +125,26 @@
         logBytes = folder.size()[0];
         disk = Executors.newSingleThreadExecutor(run -> thread(run, "store-disk"));
         background = Executors.newSingleThreadExecutor(run -> thread(run, "store-snapshot"));
-    }
+        links = new Links(group, config.group(), config.node(), new Links.Receiver() {
+            @Override
+            public void consensus(Msg m) {
+                if (!closed && !halted) {
+                    raft.receive(m);
+                    step();
+                }
+            }
 
-    private static java.util.Set<String> others(StoreConfig config) {
-        java.util.Set<String> others = new java.util.TreeSet<>(config.nodes().keySet());
-        others.remove(config.node());
-        return others;
+            @Override
+            public void side(Side side, Consumer<Side> back) {
+                heard(side, back);
+            }
+        }, log);
+        session = config.node() + ":" + Long.toString(System.currentTimeMillis(), 36)
+                + Long.toString(new SplittableRandom().nextLong() >>> 1, 36);
+        lanes = new Lanes(session, Lanes.Bounds.DEFAULT);
+        Admin admin = new Admin(this, log);
+        onAsk("store", admin::ask);
+        whenWriting(admin::writes);
     }
 
     private static Thread thread(Runnable run, String name) {
@@ -143,15 +155,7 @@
 
     /** Listens and takes part in the group. */
     public ChannelFuture start() {
-        ChannelFuture bound = new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new Incoming());
-                    }
-                }).bind(config.nodes().get(config.node()));
-        listener = bound.channel();
+        ChannelFuture bound = links.listen(config.nodes().get(config.node()));
         bound.addListener(f -> {
             if (f.isSuccess() && !closed) {
                 begin();
@@ -166,11 +170,7 @@
         if (!all.isEmpty()) {
             listeners.forEach(l -> l.accept(all));
         }
-        config.nodes().forEach((name, address) -> {
-            if (!name.equals(config.node())) {
-                links.put(name, new Link(name));
-            }
-        });
+        connectAll();
         if (raft.members().voters().equals(java.util.Set.of(config.node()))) {
             raft.standNow(); // nobody else could
         }
@@ -184,7 +184,7 @@
         }
         group.next().schedule(this::tellOld, OLD_COPY_MS, TimeUnit.MILLISECONDS);
         group.next().scheduleAtFixedRate(() -> {
-            if (!closed && !diskFailed) {
+            if (!closed && !halted) {
                 raft.tick();
                 step();
             }
@@ -202,7 +202,13 @@
         }
         try {
             State copy = State.fromBytes(state.freeze().toBytes());
-            raft.entriesAfter(copy.version()).forEach(e -> copy.apply(e.index(), e.data(), new ArrayList<>()));
+            for (Entry e : raft.entriesAfter(copy.version())) {
+                try {
+                    copy.apply(e.index(), e.data(), new ArrayList<>());
+                } catch (State.LaterForm later) {
+                    break; // what a later program wrote stands after all that this one can tell
+                }
+            }
             old = copy;
             log.accept("store: the group was not reached in " + OLD_COPY_MS + " ms; going on from the copy here, version "
                     + copy.version() + ", marked as old");
@@ -297,20 +303,24 @@
         write(State.Command.of(changes), then);
     }
 
-    /** Writes on conditions, or once for each number of a session. */
+    /** Writes on conditions, or once for each number of a session, where this node leads. */
     public void write(State.Command command, Consumer<Result> then) {
+        propose(command, result -> then.accept(result instanceof Elsewhere e ? new Rejected(e.why()) : result));
+    }
+
+    private void propose(State.Command command, Consumer<Result> then) {
         byte[] data = State.encode(command);
         if (!writer) {
-            then.accept(new Rejected(raft.leader() == null ? "no majority has answered yet"
+            then.accept(new Elsewhere(raft.leader() == null ? "no majority has answered yet"
                     : "the writer is " + raft.leader()));
         } else if (data.length > MAX_COMMAND) {
             then.accept(new Rejected("the write is too large"));
         } else if (writes.size() >= MAX_WRITES) {
-            then.accept(new Rejected("too many writes are waiting"));
+            then.accept(new Elsewhere("too many writes are waiting"));
         } else {
             long index = raft.propose(data);
             if (index < 0) {
-                then.accept(new Rejected("leadership is being handed over"));
+                then.accept(new Elsewhere("leadership is being handed over"));
                 return;
             }
             Pending pending = new Pending(raft.term(), command.changes(), then);
@@ -320,6 +330,12 @@
         }
     }
 
+    /** Proposes bytes as they are, to see what nodes make of a form that they do not know. */
+    void proposeRaw(byte[] data) {
+        raft.propose(data);
+        step();
+    }
+
     private void unknown(Pending pending) {
         Consumer<Result> then = pending.then;
         pending.then = null;
@@ -328,6 +344,219 @@
         }
     }
 
+    /**
+     * Writes on conditions from whichever node this is: here where this node leads, else by way of the leader, once,
+     * whoever leads while it is under way. What no leader said for long is told as unknown.
+     */
+    public void submit(List<State.Expect> expects, List<Change> changes, Consumer<Result> then) {
+        if (State.encode(new State.Command(session + ":00", 0, expects, changes)).length > MAX_COMMAND) {
+            then.accept(new Rejected("the write is too large"));
+            return;
+        }
+        lanes.submit(nowMs(), expects, changes, then);
+        pump();
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Sends what is due to whoever leads, and looks again while anything waits. */
+    private void pump() {
+        if (closed) {
+            return;
+        }
+        for (Lanes.Send send : lanes.due(nowMs())) {
+            if (writer) {
+                propose(send.command(), result -> endedHere(send, result));
+            } else if (raft.leader() != null && !raft.leader().equals(config.node())) {
+                long id = nextForward++;
+                forwarded.values().removeIf(s -> s.lane() == send.lane());
+                forwarded.put(id, send);
+                links.send(raft.leader(), new Side.Forward(config.node(), raft.leader(), id, State.encode(send.command())));
+            }
+        }
+        if (!lanesPlanned && !lanes.idle()) {
+            lanesPlanned = true;
+            group.next().schedule(() -> {
+                lanesPlanned = false;
+                pump();
+            }, TICK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void endedHere(Lanes.Send send, Result result) {
+        // What this node refused before it was in the log may be there by an earlier sending.
+        lanes.ended(send.lane(), send.number(), result);
+        pump();
+    }
+
+    private void heard(Side side, Consumer<Side> back) {
+        if (closed) {
+            return;
+        }
+        if (side instanceof Side.Forward m && m.to().equals(config.node()) && links.knows(m.from())) {
+            Consumer<Result> answer = result -> links.send(m.from(), new Side.Forwarded(config.node(), m.from(), m.id(), result));
+            try {
+                propose(State.decode(m.command()), answer);
+            } catch (IOException | State.LaterForm e) {
+                answer.accept(new Rejected("a command that this node cannot read: " + e.getMessage()));
+            }
+        } else if (side instanceof Side.Forwarded m && m.to().equals(config.node())) {
+            Lanes.Send send = forwarded.remove(m.id());
+            if (send != null) {
+                lanes.ended(send.lane(), send.number(), m.result());
+                pump();
+            }
+        } else if (side instanceof Side.Told m && m.to().equals(config.node()) && links.knows(m.from())) {
+            told.accept(m.from(), m.bytes());
+        } else if (side instanceof Side.Ask m) {
+            String first = m.text().split(" ", 2)[0];
+            BiConsumer<String, Reply> handler = asked.get(first);
+            Reply reply = new Reply(answer -> back.accept(new Side.Answer(m.id(), answer.ok(), answer.text(),
+                    answer.leader())));
+            if (handler == null) {
+                reply.refuse("this node answers no such question: " + first);
+            } else {
+                handler.accept(m.text(), reply);
+            }
+        }
+    }
+
+    /** An answer to a command; {@code leader} is where to ask instead, or empty. */
+    public record Answer(boolean ok, String text, String leader) { }
+
+    /** Where a command's answer goes, once. */
+    public final class Reply {
+        private Consumer<Answer> to;
+
+        private Reply(Consumer<Answer> to) {
+            this.to = to;
+        }
+
+        private void answer(Answer answer) {
+            if (to != null) {
+                to.accept(answer);
+                to = null;
+            }
+        }
+
+        /** It was done, or this is what was asked for. */
+        public void tell(String text) {
+            answer(new Answer(true, text, ""));
+        }
+
+        /** It was not done, for this reason. */
+        public void refuse(String why) {
+            answer(new Answer(false, why, ""));
+        }
+
+        /** Only the leader can do it: says where that is, or that there is none. */
+        public void elsewhere() {
+            InetSocketAddress at = raft.leader() == null ? null : links.address(raft.leader());
+            answer(new Answer(false, raft.leader() == null ? "no node leads: no majority is in reach"
+                    : "node " + raft.leader() + " leads, not " + config.node(),
+                    at == null ? "" : at.getHostString() + ":" + at.getPort()));
+        }
+    }
+
+    /** Answers commands' questions that begin with this word. */
+    public void onAsk(String word, BiConsumer<String, Reply> handler) {
+        asked.put(word, handler);
+    }
+
+    /** Sends bytes to another node, or to this one; false where they surely do not arrive. */
+    public boolean tell(String node, byte[] bytes) {
+        if (node.equals(config.node())) {
+            group.next().execute(() -> told.accept(node, bytes));
+            return true;
+        }
+        return links.send(node, new Side.Told(config.node(), node, bytes));
+    }
+
+    /** Takes what other nodes tell; one taker. */
+    public void onTold(BiConsumer<String, byte[]> taker) {
+        told = taker;
+    }
+
+    /** This node's name. */
+    public String node() {
+        return config.node();
+    }
+
+    /** This life of this node: the beginning of its sessions' names. */
+    public String session() {
+        return session;
+    }
+
+    /** A value with its version as this node has told it, the whole state being at one version. */
+    public State.Value value(String key) {
+        return state.get(key);
+    }
+
+    /** All values whose keys begin so, as this node has told them. */
+    public Map<String, State.Value> under(String prefix) {
+        return state.under(prefix);
+    }
+
+    // ---- levels and nodes ----
+
+    /** The level that a node has told, this one's own, or 0 where it has told none. */
+    int levelOf(String node) {
+        return node.equals(config.node()) ? Side.LEVEL : links.level(node);
+    }
+
+    /** How a member stands with this leader. */
+    Raft.Standing standing(String node) {
+        return raft.standing(node);
+    }
+
+    boolean membersCommitted() {
+        return raft.membersCommitted();
+    }
+
+    /** Where a node is spoken to, as text, or "". */
+    String addressOf(String node) {
+        InetSocketAddress at = node.equals(config.node()) ? config.nodes().get(node) : links.address(node);
+        return at == null ? "" : at.getHostString() + ":" + at.getPort();
+    }
+
+    void after(int ms, Runnable run) {
+        group.next().schedule(run, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** The forms and rules of the log that hold now. */
+    public int level() {
+        return state.level();
+    }
+
+    /** The nodes that the group has, by the log, and those of this node's file. */
+    private void connectAll() {
+        config.nodes().forEach(links::connect);
+        state.under(NODE_KEY).forEach((key, value) -> nodeAt(key.substring(NODE_KEY.length()), value.text()));
+    }
+
+    private void nodesIn(List<Change> changes) {
+        for (Change c : changes) {
+            if (c.key().startsWith(NODE_KEY)) {
+                nodeAt(c.key().substring(NODE_KEY.length()), c.value());
+            }
+        }
+    }
+
+    /** A node's address in the store; this node's own file goes before it. */
+    private void nodeAt(String node, String address) {
+        if (config.nodes().containsKey(node)) {
+            return;
+        }
+        int colon = address == null ? -1 : address.lastIndexOf(':');
+        if (colon < 0) {
+            links.drop(node);
+        } else {
+            links.connect(node, new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+        }
+    }
+
     /** Proposes other members; true where this node could. */
     public boolean change(Members fresh) {
         boolean begun = raft.change(fresh) >= 0;
@@ -345,7 +574,7 @@
     // ---- what the module asks for ----
 
     private void step() {
-        if (stepping || closed || diskFailed) {
+        if (stepping || closed || halted) {
             return; // the one that runs goes on until there is nothing more
         }
         stepping = true;
@@ -356,9 +585,8 @@
             queued.addAll(out.persists);
             flush();
             out.messages.forEach(m -> {
-                Link link = links.get(m.to());
-                if (link != null) {
-                    link.send(m);
+                if (links.mayHear(m.to(), level())) {
+                    links.send(m);
                 }
             });
             if (out.install() != null) {
@@ -372,7 +600,7 @@
     }
 
     private void flush() {
-        if (diskBusy || queued.isEmpty()) {
+        if (diskBusy || queued.isEmpty() || closed) {
             return;
         }
         diskBusy = true;
@@ -399,13 +627,17 @@
 
     /** What is on disk is not known: this node takes no part any more, and goes on telling what it has. */
     private void failDisk(Exception e) {
-        if (closed) {
+        halt(e.getMessage() + "; this node reads on and writes no more until it is started again");
+    }
+
+    private void halt(String why) {
+        if (closed || halted) {
             return;
         }
-        diskFailed = true;
+        halted = true;
         writer = false;
         current = false;
-        log.accept("store: " + e.getMessage() + "; this node reads on and writes no more until it is started again");
+        log.accept("store: " + why);
         abandon();
     }
 
@@ -432,6 +664,7 @@
             });
             state = fresh;
             log.accept("store: took a snapshot of version " + state.version() + ", " + bytes.length + " bytes");
+            nodesIn(changes);
             listeners.forEach(l -> l.accept(changes));
         } catch (IOException e) {
             failDisk(e);
@@ -439,6 +672,10 @@
     }
 
     private void apply() {
+        if (stuck) {
+            waiting.clear();
+            return;
+        }
         while (!waiting.isEmpty() && waiting.peek().index() <= raft.durableIndex()) {
             Entry entry = waiting.poll();
             if (entry.index() <= state.version()) {
@@ -447,9 +684,20 @@
             Pending pending = writes.remove(entry.index());
             boolean ours = pending != null && pending.term == entry.term();
             List<Change> changed = new ArrayList<>();
-            State.Outcome outcome = state.apply(entry.index(), entry.data(), changed);
+            State.Outcome outcome;
+            try {
+                outcome = state.apply(entry.index(), entry.data(), changed);
+            } catch (State.LaterForm e) {
+                log.accept("store: version " + entry.index() + " has a form that this program does not know ("
+                        + e.getMessage() + "); it follows no more and serves from its copy of version " + state.version()
+                        + ", marked as old; start the later program here");
+                stuck = true; // it goes on voting and keeping the log: those who know the form need a majority
+                waiting.clear();
+                return;
+            }
             if (!changed.isEmpty()) {
                 List<Change> told = ours ? pending.changes : List.copyOf(changed);
+                nodesIn(told);
                 listeners.forEach(l -> l.accept(told));
             }
             if (pending != null && pending.then != null) {
@@ -478,7 +726,7 @@
             }
             group.next().execute(() -> {
                 compacting = false;
-                if (!closed && !diskFailed && frozen.version() > raft.snapshotIndex()) {
+                if (!closed && !halted && frozen.version() > raft.snapshotIndex()) {
                     raft.compact(frozen.version(), bytes);
                     logBytes = 0;
                     step();
@@ -501,6 +749,16 @@
     }
 
     private void roles() {
+        if (stuck) {
+            writer = false;
+            current = false;
+            if (!writes.isEmpty()) {
+                abandon();
+            }
+            // Who cannot tell what the log says must not be the one that writes it.
+            raft.members().voters().stream().filter(v -> links.level(v) > Side.LEVEL).findFirst().ifPresent(raft::transfer);
+            return;
+        }
         boolean leads = raft.role() == Raft.Role.LEADER && raft.leadsSurely() && waiting.isEmpty();
         if (raft.role() != Raft.Role.LEADER && !writes.isEmpty()) {
             abandon();
@@ -525,11 +783,7 @@
     public void close() throws IOException {
         closed = true;
         writer = false;
-        if (listener != null) {
-            listener.close();
-        }
-        List.copyOf(accepted).forEach(Channel::close);
-        links.values().forEach(Link::close);
+        links.close();
         disk.shutdown();
         background.shutdown();
         try {
@@ -539,101 +793,4 @@
         }
         folder.close();
     }
-
-    // ---- the other nodes ----
-
-    /** Messages to one node; what cannot be sent is lost, as on any network. */
-    private final class Link extends ChannelInboundHandlerAdapter {
-        private final String name;
-        private Channel channel;
-        private boolean up;
-
-        Link(String name) {
-            this.name = name;
-            connect();
-        }
-
-        @Override
-        public boolean isSharable() {
-            return true; // one connection after another
-        }
-
-        private void connect() {
-            if (closed) {
-                return;
-            }
-            ChannelFuture connecting = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000).option(ChannelOption.TCP_NODELAY, true)
-                    .handler(this).connect(config.nodes().get(name));
-            channel = connecting.channel();
-            connecting.addListener(f -> {
-                if (f.isSuccess() && channel.localAddress().equals(channel.remoteAddress())) {
-                    channel.close(); // on loopback a connect to a port nobody listens on can meet itself
-                } else {
-                    up = f.isSuccess();
-                }
-            });
-            channel.closeFuture().addListener(f -> {
-                up = false;
-                group.next().schedule(this::connect, RETRY_MS, TimeUnit.MILLISECONDS);
-            });
-        }
-
-        void send(Msg m) {
-            var unsent = channel.unsafe().outboundBuffer();
-            if (up && (unsent == null || unsent.totalPendingWriteBytes() < UNSENT_BYTES)) {
-                byte[] bytes = Wire.write(config.group(), m);
-                channel.writeAndFlush(Unpooled.buffer(4 + bytes.length).writeInt(bytes.length).writeBytes(bytes));
-            }
-        }
-
-        void close() {
-            channel.close();
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            ((ByteBuf) message).release(); // nothing is said on this side
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
-    }
-
-    private final class Incoming extends ChannelInboundHandlerAdapter {
-        private final FrameBuffer frames = new FrameBuffer(4, MAX_FRAME);
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            accepted.add(ctx.channel());
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            accepted.remove(ctx.channel());
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) throws IOException {
-            frames.feed((ByteBuf) message);
-            for (byte[] f = frames.next(); f != null && !closed && !diskFailed; f = frames.next()) {
-                Msg m = Wire.read(config.group(), f);
-                if (m.to().equals(config.node()) && config.nodes().containsKey(m.from())) {
-                    raft.receive(m);
-                    step();
-                }
-            }
-            if (frames.malformed()) {
-                ctx.close();
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.accept("store: " + cause);
-            ctx.close();
-        }
-    }
 }
--- a/src/test/java/reeldeal/consensus/SimulationTest.java
+++ b/src/test/java/reeldeal/consensus/SimulationTest.java
@@ -15,7 +15,7 @@
 public class SimulationTest {
     private static final long MS = 6_000;
     private static final int SEEDS = 300;
-    private static final int MOST = 3_000;
+    private static final int MOST = 6_000;
 
     /** Ways in which the module can be broken; each must be found. */
     private static Map<String, Simulation.Maker> broken() {
--- a/src/test/java/reeldeal/store/StoreMeasure.java
+++ b/src/test/java/reeldeal/store/StoreMeasure.java
@@ -38,7 +38,7 @@
         void start(boolean groupCommit) throws Exception {
             for (String node : nodes.keySet()) {
                 EventLoopGroup loop = new NioEventLoopGroup(1);
-                Store store = new Store(loop, new StoreConfig("m", node, nodes, false, folder.resolve(node), null, 1), l -> { });
+                Store store = new Store(loop, new StoreConfig("m", node, nodes, java.util.Set.of(), false, folder.resolve(node), null, 1), l -> { });
                 store.groupCommit = groupCommit;
                 stores.put(node, store);
                 loops.put(node, loop);
--- a/src/test/java/reeldeal/store/StoreTest.java
+++ b/src/test/java/reeldeal/store/StoreTest.java
@@ -62,7 +62,7 @@
     }
 
     private Store start(String node) throws Exception {
-        Store store = new Store(group, new StoreConfig("g", node, nodes, false, folder.getRoot().toPath().resolve(node), null, 1),
+        Store store = new Store(group, new StoreConfig("g", node, nodes, java.util.Set.of(), false, folder.getRoot().toPath().resolve(node), null, 1),
                 log::add);
         running.put(node, store);
         store.start().sync();
@@ -98,7 +98,7 @@
     private void await(Callable<Boolean> holds) throws Exception {
         long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
         while (!on(holds)) {
-            assertTrue("waited in vain", System.nanoTime() < until);
+            assertTrue("waited in vain; " + log, System.nanoTime() < until);
             Thread.sleep(5);
         }
     }
@@ -207,4 +207,107 @@
         kill(again);
         reads(start(again), "k", "3");
     }
+
+    private Store.Answer ask(String node, String question) throws Exception {
+        return Client.ask(nodes.get(node), "g", question, 8_000);
+    }
+
+    private Store join(String node) throws Exception {
+        Map<String, InetSocketAddress> known = new HashMap<>(nodes);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            known.put(node, (InetSocketAddress) free.getLocalSocketAddress());
+        }
+        Store store = new Store(group, new StoreConfig("g", node, known, nodes.keySet(), true,
+                folder.getRoot().toPath().resolve(node), null, 1), log::add);
+        running.put(node, store);
+        store.start().sync();
+        nodes.put(node, known.get(node));
+        return store;
+    }
+
+    @Test
+    public void aRunningGroupTakesInALearnerMakesItAVoterAndLetsAnotherGo() throws Exception {
+        for (String node : List.of("a", "b", "c")) {
+            start(node);
+        }
+        writer();
+        await(() -> running.values().stream().allMatch(s -> s.level() == Side.LEVEL));
+        assertTrue(log.stream().noneMatch(l -> l.contains("raise")));
+        Store d = join("d");
+        Store.Answer added = ask("a", "store add d 127.0.0.1:" + nodes.get("d").getPort());
+        assertTrue(added.text(), added.ok());
+        await(d::isCurrent);
+        // A write at a node that only follows goes to the leader and is told there as well.
+        CompletableFuture<Store.Result> forwarded = new CompletableFuture<>();
+        on(() -> {
+            d.submit(List.of(new State.Expect("k", 0)), List.of(new Change("k", "from d")), forwarded::complete);
+            return null;
+        });
+        assertTrue(forwarded.get(PATIENCE_MS, TimeUnit.MILLISECONDS) instanceof Store.Committed);
+        for (Store s : running.values()) {
+            reads(s, "k", "from d");
+        }
+        assertTrue(ask("b", "store promote x").text().contains("x is not in the group"));
+        assertTrue(ask("b", "store promote d").ok());
+        String leader = name(writer());
+        String gone = nodes.keySet().stream().filter(n -> !n.equals(leader) && !n.equals("d")).findFirst().orElseThrow();
+        String other = nodes.keySet().stream().filter(n -> !n.equals(leader) && !n.equals("d") && !n.equals(gone)).findFirst().orElseThrow();
+        kill(gone);
+        assertTrue(ask(other, "store remove " + gone).ok());
+        await(() -> running.values().stream().allMatch(s -> s.members().voters().equals(java.util.Set.of(leader, other, "d"))));
+        // Two of three are left: what would leave one of two in reach is refused with its reason.
+        kill(other);
+        await(() -> !running.get(leader).standing(other).heard());
+        Store.Answer refused = ask(leader, "store remove d");
+        assertTrue(refused.text(), refused.text().contains("only 1 of the 2 voters that there would be are heard"));
+    }
+
+    @Test
+    public void aNodeThatMeetsALaterFormStopsFollowingAndServesItsCopy() throws Exception {
+        start("a");
+        start("b");
+        Store w = writer();
+        assertTrue(write(w, "k", "1") instanceof Store.Committed);
+        for (Store s : running.values()) {
+            reads(s, "k", "1");
+        }
+        State later = new State();
+        byte[] form = State.encode(State.Command.of(List.of(new Change("k", "2"))));
+        form[0] = 2;
+        try {
+            later.apply(1, form, new java.util.ArrayList<>());
+            assertTrue("a later form is taken", false);
+        } catch (State.LaterForm e) {
+            assertEquals(0, later.version());
+        }
+        on(() -> {
+            w.proposeRaw(form);
+            return null;
+        });
+        await(() -> log.stream().filter(l -> l.contains("a form that this program does not know (form 2)")).count() == 2);
+        for (Store s : running.values()) {
+            assertEquals("1", on(() -> s.get("k")));
+            assertEquals(false, on(s::isCurrent));
+            assertEquals(false, on(s::isWriter));
+        }
+    }
+
+    @Test
+    public void sessionsOfLiveMembersAreNeverForgotten() {
+        for (int level = 1; level <= 2; level++) {
+            State state = new State();
+            long at = 1;
+            state.apply(at++, State.encode(State.Command.of(List.of(new Change(State.LEVEL, String.valueOf(level)),
+                    new Change(State.PINNED + "n:1", "")))), new java.util.ArrayList<>());
+            byte[] first = State.encode(new State.Command("n:1:0", 1, List.of(), List.of(new Change("k", "once"))));
+            state.apply(at++, first, new java.util.ArrayList<>());
+            for (int i = 0; i < 1_500; i++) {
+                state.apply(at++, State.encode(new State.Command("other:" + i + ":0", 1, List.of(), List.of(new Change("o", "" + i)))),
+                        new java.util.ArrayList<>());
+            }
+            List<Change> again = new java.util.ArrayList<>();
+            state.apply(at, first, again);
+            assertEquals("level " + level + ", as the program before it does", level == 1 ? 1 : 0, again.size());
+        }
+    }
 }
--- a/src/test/java/reeldeal/zones/ZoneBed.java
+++ b/src/test/java/reeldeal/zones/ZoneBed.java
@@ -47,7 +47,7 @@
             int port) throws Exception {
         this.folder = folder;
         store = new Store(group, new StoreConfig("g", "a",
-                Map.of("a", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)), false, folder.resolve("state"), null, 1),
+                Map.of("a", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)), java.util.Set.of(), false, folder.resolve("state"), null, 1),
                 log::add);
         ZonesConfig config = new ZonesConfig(null, zones, keys, maxConnections, idleMs, Membership.Rules.DEFAULT, null);
         List<String> sources = new ArrayList<>(zones.stream().filter(ZonesConfig.Entry::searchers)
