--- /dev/null
+++ b/src/main/java/reeldeal/fleet/Coordinator.java
@@ -0,0 +1,184 @@
+package reeldeal.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import reeldeal.fleet.Fleet.Member;
+import reeldeal.fleet.Fleet.Step;
+import reeldeal.fleet.members.Leases;
+import reeldeal.fleet.permits.Permits;
+import reeldeal.fleet.permits.Seen;
+import reeldeal.fleet.release.Health;
+import reeldeal.fleet.release.Releases;
+
+/**
+ * What the store's leader does for the fleet: ends leases, notes who is out and who is back, carries a release on.
+ * One write at a time; each is conditional, so that a leader of the past, or one whose copy is behind, changes
+ * nothing. All that is held here is of this leadership only, and what is not known yet holds things back.
+ */
+public class Coordinator {
+    private final Permits permits;
+    private final Releases releases;
+    private final Leases leases;
+    private final Health health = new Health();
+    private final Map<String, long[]> stages = new HashMap<>();
+    private Fleet fleet;
+    private boolean leads;
+    private boolean writing;
+    private long leaderlessMs;
+    private long lastSerial = -1;
+    private long grantSeenAt;
+    private Map<String, Seen> searchers;
+    private Permits.Shards shards = new Permits.Shards(0, 0, 0);
+
+    public Coordinator(Permits permits, Releases releases, Leases leases) {
+        this.permits = permits;
+        this.releases = releases;
+        this.leases = leases;
+    }
+
+    // ---- inputs ----
+
+    /** This node leads from now on, after nobody was known to lead for so long. */
+    public void begin(long now, long leaderless) {
+        leads = true;
+        writing = false;
+        leaderlessMs = leaderless;
+        grantSeenAt = now;
+        lastSerial = fleet == null ? -1 : fleet.version(Fleet.SERIAL);
+        stages.clear();
+        health.clear();
+        leases.begin(now);
+        if (fleet != null) {
+            leases.view(fleet, now);
+        }
+    }
+
+    /** This node leads no more. */
+    public void end() {
+        leads = false;
+        leases.end();
+    }
+
+    /** The store's state as this node has told it. */
+    public void view(long now, Fleet told) {
+        fleet = told;
+        if (told.version(Fleet.SERIAL) != lastSerial) {
+            lastSerial = told.version(Fleet.SERIAL);
+            grantSeenAt = now;
+        }
+        leases.view(told, now);
+        told.steps().values().forEach(s -> {
+            // A step's time begins anew where the release was resumed.
+            long since = Math.max(s.version(), told.version(Fleet.RELEASE));
+            long[] seen = stages.get(s.name());
+            if (seen == null || seen[0] != since) {
+                stages.put(s.name(), new long[] {since, now});
+            }
+        });
+    }
+
+    /** The list of searchers as this node has it, and where shards lie; null for no list yet. */
+    public void searchers(Map<String, Seen> list, Permits.Shards layout) {
+        searchers = list;
+        shards = layout;
+    }
+
+    /** A beat of a member; true where it is to be answered, since its lease stands. */
+    public boolean beat(long now, String name, long incarnation, long seen, Health.Counts counts) {
+        if (!leads || fleet == null || !leases.heard(fleet, name, incarnation, seen, now)) {
+            return false;
+        }
+        health.heard(name, fleet.members().get(name).boot(), now, counts);
+        return true;
+    }
+
+    /** The write that was under way has ended, however. */
+    public void ended() {
+        writing = false;
+    }
+
+    // ---- what follows ----
+
+    /** What this leader knows beside the store, now. */
+    public Permits.Facts facts(long now) {
+        return new Permits.Facts(searchers, shards, now - grantSeenAt);
+    }
+
+    /** The next write, or null; asked again once that has ended. */
+    public Write next(long now) {
+        if (!leads || writing || fleet == null) {
+            return null;
+        }
+        Write write = decide(now);
+        writing = write != null;
+        return write;
+    }
+
+    private Write decide(long now) {
+        for (String name : leases.ended(fleet, now)) {
+            Member m = fleet.members().get(name);
+            leases.ending(m);
+            return fleet.state(m, Fleet.State.LAPSED, "not heard for " + (now - lastHeard(m, now)) + " ms").put(
+                    reeldeal.fleet.members.Self.PIN + m.session(), null);
+        }
+        Permits.Facts facts = facts(now);
+        List<Write> notices = permits.notices(fleet, facts);
+        if (!notices.isEmpty()) {
+            return notices.get(0);
+        }
+        List<Write> steps = releases.next(fleet, facts, look(now));
+        if (leaderlessMs > 0 && (fleet.release() == null || !fleet.release().runs())) {
+            leaderlessMs = 0; // what has stopped needs no second halt when it is resumed
+        }
+        return steps.isEmpty() ? null : steps.get(0);
+    }
+
+    private long lastHeard(Member m, long now) {
+        long silent = leases.silentMs(m, now);
+        return silent < 0 ? now : now - silent;
+    }
+
+    private Releases.Look look(long now) {
+        return new Releases.Look() {
+            @Override
+            public boolean acknowledged(long version) {
+                return leases.behind(fleet, version).isEmpty();
+            }
+
+            @Override
+            public long stageMs(Step step) {
+                long[] seen = stages.get(step.name());
+                return seen == null || seen[0] < step.version() ? 0 : now - seen[1];
+            }
+
+            @Override
+            public String worse() {
+                if (fleet.release().kind() != Fleet.Kind.BROKER) {
+                    return null;
+                }
+                Set<String> changed = Releases.changed(fleet);
+                Set<String> rest = new TreeSet<>(fleet.members().keySet());
+                rest.removeAll(changed);
+                return health.worse(changed, rest, now);
+            }
+
+            @Override
+            public long leaderlessMs() {
+                return leaderlessMs;
+            }
+        };
+    }
+
+    /** For how long a member was not heard here, in ms, or -1. */
+    public long silentMs(Member m, long now) {
+        return leases.silentMs(m, now);
+    }
+
+    /** Whether this node leads. */
+    public boolean leads() {
+        return leads;
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/fleet/Write.java
@@ -0,0 +1,31 @@
+package reeldeal.fleet;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A write that happens only where all that it was decided from still stands.
+ *
+ * @param needs keys with the versions that they must have, 0 for not there
+ * @param puts keys with their new values, null to take them away
+ * @param why a line for the log
+ */
+public record Write(Map<String, Long> needs, Map<String, String> puts, String why) {
+
+    /** One that needs and puts nothing yet. */
+    public static Write because(String why) {
+        return new Write(new TreeMap<>(), new TreeMap<>(), why);
+    }
+
+    /** Also needs a key at a version. */
+    public Write need(String key, long version) {
+        needs.put(key, version);
+        return this;
+    }
+
+    /** Also puts a value. */
+    public Write put(String key, Object value) {
+        puts.put(key, value == null ? null : value.toString());
+        return this;
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/fleet/members/Lease.java
@@ -0,0 +1,39 @@
+package reeldeal.fleet.members;
+
+/**
+ * The holder's side of its lease. The leader counts a term from when it heard a beat; the holder counts from when it
+ * sent that beat, which is earlier, and takes off a share for the clocks: as long as its steady clock runs at no
+ * less than {@code 1 - SKEW} of the leader's rate, it fences itself before the leader ends the lease. A paused
+ * process fences itself at its first look after waking. Times are ms of its own steady clock.
+ */
+public class Lease {
+    /** The most by which two steady clocks may differ in rate. */
+    public static final double SKEW = 0.1;
+
+    private final long termMs;
+    private long incarnation;
+    private long until = Long.MIN_VALUE;
+
+    public Lease(long termMs) {
+        this.termMs = termMs;
+    }
+
+    /** A beat of this incarnation, sent then, was answered by the leader. */
+    public void answered(long of, long sentAt) {
+        if (of != incarnation) {
+            incarnation = of;
+            until = Long.MIN_VALUE;
+        }
+        until = Math.max(until, sentAt + holds());
+    }
+
+    /** For how long after it was sent a beat that was answered holds. */
+    protected long holds() {
+        return (long) (termMs * (1 - SKEW));
+    }
+
+    /** Whether the lease of an incarnation surely stands. */
+    public boolean stands(long of, long now) {
+        return of != 0 && of == incarnation && now < until;
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -0,0 +1,308 @@
+package reeldeal.fleet.members;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.Fleet.Kind;
+import reeldeal.fleet.Fleet.Member;
+import reeldeal.fleet.Fleet.Stage;
+import reeldeal.fleet.Fleet.State;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.Write;
+import reeldeal.fleet.permits.Permits;
+
+/**
+ * One broker as a member: registers, keeps its lease, says how it is, and does what it is told to. It begins to
+ * drain only once the log has its word that it does, and says that it serves only once it does, so that it is never
+ * out while the log holds it for serving. Who it is comes from the log: a write whose end is not known is looked
+ * up there.
+ */
+public class Self {
+    /** What is to be done. */
+    public sealed interface Act { }
+
+    /** A write; its end is told by {@link Self#ended}. */
+    public record Put(Write write) implements Act { }
+
+    /** A beat for the leader; its answer is told by {@link Self#answered}. */
+    public record Beat(long incarnation, long sentAt, long seen) implements Act { }
+
+    /** Take no more clients, end what is open. */
+    public record Drain() implements Act { }
+
+    /** Take clients again. */
+    public record Serve() implements Act { }
+
+    /** End the process in order. */
+    public record Exit(String why) implements Act { }
+
+    /** A line for the log. */
+    public record Say(String line) implements Act { }
+
+    /** Who this is; {@code boot} differs for each process. */
+    public record Who(String name, String boot, String session, String zone, String program, String config) { }
+
+    /** How patient it is, in ms. */
+    public record Times(long termMs, long beatMs, long exitWaitMs, long againMs) {
+        public static final Times DEFAULT = new Times(6_000, 1_000, 10_000, 500);
+    }
+
+    /** Keeps the sessions of a member's writes from being forgotten; the store's own prefix for that. */
+    public static final String PIN = "session/";
+
+    private final Who who;
+    private final Times times;
+    private final Permits permits;
+    private final Lease lease;
+    private Fleet fleet;
+    private long seen;
+    private boolean current;
+    private boolean ready;
+    private boolean drains;
+    private boolean writing;
+    private long writeAgainAt = Long.MIN_VALUE;
+    private long beatAt = Long.MIN_VALUE;
+    private long exitUntil = Long.MAX_VALUE;
+    private boolean exiting;
+    private boolean exited;
+    private boolean superseded;
+    private boolean incarnationEver;
+    private boolean unplanned;
+    private long lastSerial = -1;
+    private long grantSeenAt = Long.MIN_VALUE / 2;
+    private final List<Act> acts = new ArrayList<>();
+
+    public Self(Who who, Times times, Permits permits) {
+        this.who = who;
+        this.times = times;
+        this.permits = permits;
+        this.lease = lease(times.termMs());
+    }
+
+    /** The holder's side of the lease. */
+    protected Lease lease(long termMs) {
+        return new Lease(termMs);
+    }
+
+    // ---- inputs ----
+
+    /** What the node's copy of the store says; {@code isCurrent} whether the group was heard. */
+    public void view(long now, Fleet told, long version, boolean isCurrent) {
+        fleet = told;
+        seen = version;
+        current = isCurrent;
+        long serial = told.version(Fleet.SERIAL);
+        if (serial != lastSerial) {
+            lastSerial = serial;
+            grantSeenAt = now;
+        }
+        tick(now);
+    }
+
+    /** The broker takes clients. */
+    public void ready(long now) {
+        ready = true;
+        tick(now);
+    }
+
+    /** A write has ended; {@code known} whether it is known how. */
+    public void ended(long now, boolean known) {
+        writing = false;
+        writeAgainAt = now + (known ? 0 : times.againMs());
+        tick(now);
+    }
+
+    /** A beat was answered. */
+    public void answered(long now, long incarnation, long sentAt) {
+        lease.answered(incarnation, sentAt);
+        tick(now);
+    }
+
+    /** The process was told to end (SIGTERM): it asks for a permit, and ends without one after a while. */
+    public void terminate(long now) {
+        if (!exiting) {
+            exiting = true;
+            exitUntil = now + times.exitWaitMs();
+        }
+        tick(now);
+    }
+
+    /** What is to be done since the last call. */
+    public List<Act> take() {
+        List<Act> taken = List.copyOf(acts);
+        acts.clear();
+        return taken;
+    }
+
+    // ---- what it knows ----
+
+    /** This process as the log has it, or null. */
+    protected Member me() {
+        Member m = fleet == null ? null : fleet.members().get(who.name());
+        return m != null && m.boot().equals(who.boot()) ? m : null;
+    }
+
+    /** Whether its lease surely stands. */
+    public boolean holds(long now) {
+        Member me = me();
+        return me != null && me.live() && lease.stands(me.incarnation(), now);
+    }
+
+    /** Its incarnation, 0 while it has none. */
+    public long incarnation() {
+        Member me = me();
+        return me == null ? 0 : me.incarnation();
+    }
+
+    /** Whether it has begun to drain. */
+    public boolean drains() {
+        return drains;
+    }
+
+    // ---- what follows ----
+
+    /** Time has gone on. */
+    public void tick(long now) {
+        if (fleet == null || exited || superseded) {
+            return;
+        }
+        Member listed = fleet.members().get(who.name());
+        Member me = me();
+        if (listed != null && me == null && incarnationEver) {
+            superseded = true;
+            acts.add(new Say("another process has registered as " + who.name() + ", incarnation " + listed.incarnation()
+                    + "; this one writes no more"));
+            return;
+        }
+        incarnationEver |= me != null;
+        if (me != null && now >= beatAt) {
+            beatAt = now + times.beatMs();
+            acts.add(new Beat(me.incarnation(), now, seen));
+        }
+        obey(now, me);
+        if (writing || now < writeAgainAt || !current) {
+            unplannedExit(now, me);
+            return;
+        }
+        if (me == null || me.state() == State.LAPSED) {
+            register(me == null ? listed : me);
+        } else {
+            say(now, me);
+        }
+        unplannedExit(now, me);
+    }
+
+    private void obey(long now, Member me) {
+        if (me == null) {
+            return;
+        }
+        if (mayDrain(me) && !drains) {
+            drains = true;
+            acts.add(new Drain());
+        }
+        Fleet.Step step = fleet.steps().get(who.name());
+        if (step != null && mayRestart(step, me) && fleet.release() != null && fleet.release().kind() == Kind.BROKER) {
+            exit("release " + fleet.release().id() + " restarts it");
+        }
+    }
+
+    /** Whether a drain of this process stands in the log. */
+    protected boolean fleetDrains() {
+        return fleet != null && who.boot().equals(fleet.drain(Kind.BROKER, who.name()));
+    }
+
+    /** Nobody is out while the log holds it for serving: its own word comes first. */
+    protected boolean mayDrain(Member me) {
+        return me.state() == State.DRAINING && (exiting || fleetDrains());
+    }
+
+    /** A restart is meant for one process: a newer one must not end for it again. */
+    protected boolean mayRestart(Fleet.Step step, Member me) {
+        return step.stage() == Stage.RESTART && step.mark().equals(who.boot()) && me.state() == State.DRAINING;
+    }
+
+    private void exit(String why) {
+        if (!exited) {
+            exited = true;
+            acts.add(new Exit(why));
+        }
+    }
+
+    /** No permit came, or the store is not in reach: it ends all the same, and counts as unplanned. */
+    private void unplannedExit(long now, Member me) {
+        if (exiting && now >= exitUntil + times.againMs() * 4) {
+            exit("told to end, unplanned: " + (me == null || !current ? "the store is not in reach" : "no permit in "
+                    + times.exitWaitMs() + " ms"));
+        }
+    }
+
+    private void register(Member was) {
+        Write write = Write.because(who.name() + " registers, program " + who.program() + ", configuration " + who.config())
+                .need(Fleet.BOOT + who.name(), was == null ? 0 : was.incarnation())
+                .put(Fleet.BOOT + who.name(), new Words().with("boot", who.boot()).with("session", who.session()).with("zone", who.zone())
+                        .with("program", who.program()).with("config", who.config()))
+                .put(Fleet.STATE + who.name(), null).put(PIN + who.session(), "");
+        if (was != null && !was.session().equals(who.session())) {
+            write.put(PIN + was.session(), null);
+        }
+        put(write);
+    }
+
+    private void put(Write write) {
+        writing = true;
+        acts.add(new Put(write));
+    }
+
+    private void say(long now, Member me) {
+        State want = exiting && (unplanned || permitted(me)) || fleetDrains() ? State.DRAINING : ready ? State.SERVING : State.STARTING;
+        if (exiting && !unplanned && !permitted(me) && me.state() != State.DRAINING) {
+            ask(now);
+            if (writing) {
+                return;
+            }
+        }
+        if (want == State.DRAINING && me.state() != State.DRAINING) {
+            put(fleet.state(me, State.DRAINING, unplanned ? "unplanned: no permit in " + times.exitWaitMs() + " ms" : ""));
+        } else if (want == State.SERVING && me.state() != State.SERVING) {
+            if (drains) {
+                drains = false; // first it serves, then it says so
+                acts.add(new Serve());
+            }
+            put(fleet.state(me, State.SERVING, ""));
+        } else if (exiting && me.state() == State.DRAINING) {
+            exit(unplanned ? "told to end, unplanned" : "told to end, with a permit");
+        }
+    }
+
+    private boolean permitted(Member me) {
+        Fleet.Permit permit = fleet.permits(Kind.BROKER).get(who.name());
+        return permit != null && permit.mark().equals(me.boot());
+    }
+
+    private void ask(long now) {
+        if (now >= exitUntil) {
+            unplanned = true;
+            acts.add(new Say("no permit to end in " + times.exitWaitMs() + " ms; ending unplanned"));
+            return;
+        }
+        Permits.Ruling ruling = permits.grant(fleet, new Permits.Facts(null, new Permits.Shards(0, 0, 0), now - grantSeenAt),
+                Kind.BROKER, who.name(), "exit", "told to end");
+        if (ruling.write() != null) {
+            put(ruling.write());
+        }
+    }
+
+    /** What is written when the process has drained and ends. */
+    public Write gone() {
+        Member me = me();
+        return me == null || !me.live() ? null : fleet.state(me, State.GONE, unplanned ? "unplanned" : "").put(PIN + who.session(), null);
+    }
+
+    /** For operators: who it is and how it stands. */
+    public String describe(long now) {
+        Member me = me();
+        return who.name() + " " + (superseded ? "superseded" : me == null ? "unregistered" : me.state().name().toLowerCase(Locale.ROOT)
+                + " incarnation=" + me.incarnation()) + (holds(now) ? "" : " fenced");
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/fleet/release/Releases.java
@@ -0,0 +1,322 @@
+package reeldeal.fleet.release;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.Fleet.Kind;
+import reeldeal.fleet.Fleet.Member;
+import reeldeal.fleet.Fleet.Permit;
+import reeldeal.fleet.Fleet.Progress;
+import reeldeal.fleet.Fleet.Release;
+import reeldeal.fleet.Fleet.Stage;
+import reeldeal.fleet.Fleet.Step;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.Write;
+import reeldeal.fleet.permits.Permits;
+
+/**
+ * A release as a state machine in the store. Each member goes through waiting, drain (with its permit), restart, back,
+ * settled; the way back is the same machine over those that were changed, the last first. Every step needs the
+ * release's own version, so that a halt that is in the log stops whatever was decided before it, and the step's, so
+ * that it is taken once whoever leads.
+ */
+public class Releases {
+
+    /** What the leader has seen beside the store. */
+    public interface Look {
+        /** Whether all live members have told that they took the log up to a version. */
+        boolean acknowledged(long version);
+
+        /** For how long this leader has seen a step as it is, in ms. */
+        long stageMs(Step step);
+
+        /** What is measurably worse in the members that were changed, or null. */
+        String worse();
+
+        /** For how long nobody led before this leader did, in ms. */
+        long leaderlessMs();
+    }
+
+    /** Without a leader for longer than this a release does not go on by itself. */
+    public static final long LEADERLESS_MS = 10_000;
+
+    private final Permits permits;
+
+    public Releases(Permits permits) {
+        this.permits = permits;
+    }
+
+    /** What is to be written now; each needs what it was decided from. */
+    public List<Write> next(Fleet fleet, Permits.Facts facts, Look look) {
+        Release r = fleet.release();
+        List<Write> writes = new ArrayList<>();
+        if (r == null || r.progress() == Progress.DONE || r.progress() == Progress.PLANNED) {
+            return writes;
+        }
+        fleet.steps().values().forEach(s -> {
+            Write back = returned(fleet, facts, r, s);
+            if (back != null) {
+                writes.add(back); // evidence counts whether it goes on or not
+            }
+        });
+        if (!r.runs() || !writes.isEmpty()) {
+            return writes;
+        }
+        String halt = halts(fleet, facts, look, r);
+        if (halt != null) {
+            writes.add(head(fleet, r, Progress.HALTED, halt));
+            return writes;
+        }
+        for (Step s : fleet.steps().values()) {
+            Write step = goOn(fleet, look, r, s);
+            if (step != null) {
+                writes.add(step);
+            }
+        }
+        if (writes.isEmpty()) {
+            Write start = startOne(fleet, facts, r);
+            if (start != null) {
+                writes.add(start);
+            } else if (fleet.steps().values().stream().allMatch(s -> s.stage() == Stage.SETTLED || s.stage() == Stage.UNTOUCHED)) {
+                writes.add(head(fleet, r, Progress.DONE, r.back() ? "all versions are as before" : "all members have " + r.to()));
+            }
+        }
+        return writes;
+    }
+
+    private static Write head(Fleet fleet, Release r, Progress progress, String reason) {
+        return Write.because("release " + r.id() + " " + progress.name().toLowerCase(java.util.Locale.ROOT) + ": " + reason)
+                .need(Fleet.RELEASE, r.version()).put(Fleet.RELEASE, Fleet.head(r, r.back(), progress, reason));
+    }
+
+    // ---- what halts it ----
+
+    protected String halts(Fleet fleet, Permits.Facts facts, Look look, Release r) {
+        if (look.leaderlessMs() >= LEADERLESS_MS) {
+            return "no majority was in reach for " + look.leaderlessMs() / 1_000 + " s";
+        }
+        String over = permits.over(fleet, facts);
+        if (over != null) {
+            return "the budget is gone: " + over;
+        }
+        for (Step s : fleet.steps().values()) {
+            boolean open = s.stage() == Stage.DRAIN || s.stage() == Stage.RESTART || s.stage() == Stage.BACK || s.stage() == Stage.UNDRAIN;
+            if (open && look.stageMs(s) > r.stepMs() + (s.stage() == Stage.BACK ? r.settleMs() : 0)) {
+                return s.name() + " has been at " + s.stage().name().toLowerCase(java.util.Locale.ROOT) + " for over " + r.stepMs() + " ms";
+            }
+            // One that had settled and died may have come back with anything.
+            if (r.kind() == Kind.BROKER && (s.stage() == Stage.BACK && mark(fleet, r, s.name()).equals(s.mark())
+                    || s.stage() == Stage.SETTLED && fleet.members().containsKey(s.name()))) {
+                String has = version(r, fleet.members().get(s.name()));
+                String wants = wanted(r, s);
+                if (!has.equals(wants) && !(s.back() && s.stage() == Stage.BACK && has.equals(r.to()))) {
+                    return s.name() + " came back with " + r.what() + " " + has + ", not " + wants;
+                }
+            }
+        }
+        return r.back() ? null : look.worse();
+    }
+
+    private static String version(Release r, Member member) {
+        return member == null ? "" : r.what().equals("config") ? member.config() : member.program();
+    }
+
+    private static String wanted(Release r, Step s) {
+        return s.back() ? s.from() : r.to();
+    }
+
+    /** The members that have what the release brings, for a comparison with the rest. */
+    public static Set<String> changed(Fleet fleet) {
+        Set<String> changed = new TreeSet<>();
+        fleet.steps().values().stream().filter(s -> !s.back() && (s.stage() == Stage.BACK || s.stage() == Stage.SETTLED))
+                .forEach(s -> changed.add(s.name()));
+        return changed;
+    }
+
+    // ---- steps ----
+
+    private Write step(Release r, Step s, Words value, String why) {
+        Write write = Write.because("release " + r.id() + ": " + s.name() + " " + why).need(Fleet.STEP + s.name(), s.version())
+                .put(Fleet.STEP + s.name(), value);
+        fence(r, write);
+        return write;
+    }
+
+    /** Whatever was decided before a halt does not happen after it. */
+    protected void fence(Release r, Write write) {
+        write.need(Fleet.RELEASE, r.version());
+    }
+
+    /** Whether all that could still send to it know that it drains. */
+    protected boolean shown(Look look, long version) {
+        return look.acknowledged(version);
+    }
+
+    /** A member under a permit that is back by evidence, after its restart or where its drain was taken back. */
+    private Write returned(Fleet fleet, Permits.Facts facts, Release r, Step s) {
+        if (s.stage() != Stage.RESTART && s.stage() != Stage.UNDRAIN) {
+            return null;
+        }
+        Permit permit = fleet.permits(r.kind()).get(s.name());
+        String evidence = permit == null ? null : permits.back(fleet, facts, permit);
+        if (evidence == null) {
+            return null;
+        }
+        boolean undrained = s.stage() == Stage.UNDRAIN;
+        String mark = r.kind() == Kind.BROKER ? fleet.members().get(s.name()).boot()
+                : String.valueOf(facts.searchers().get(s.name()).since());
+        Write write = permits.free(fleet, permit, evidence).need(Fleet.STEP + s.name(), s.version())
+                .put(Fleet.STEP + s.name(), Fleet.step(s.wave(), s.back(), undrained ? Stage.UNTOUCHED : Stage.BACK, mark, s.from()));
+        if (fleet.version(Fleet.drainKey(r.kind(), s.name())) != 0) {
+            write.put(Fleet.drainKey(r.kind(), s.name()), null);
+        }
+        return write;
+    }
+
+    /** The process that now has a name: a broker's boot, a searcher's start. */
+    private static String mark(Fleet fleet, Release r, String name) {
+        Member member = fleet.members().get(name);
+        Fleet.Known known = fleet.searchers().get(name);
+        return r.kind() == Kind.BROKER ? member == null ? "" : member.boot() : known == null ? "" : String.valueOf(known.since());
+    }
+
+    private Write goOn(Fleet fleet, Look look, Release r, Step s) {
+        if (s.stage() == Stage.DRAIN && !mark(fleet, r, s.name()).equals(s.mark())
+                && !fleet.permits(r.kind()).containsKey(s.name())) {
+            // It died while it drained and is back as it was, its slot freed by that: it goes through all of it anew.
+            String drain = Fleet.drainKey(r.kind(), s.name());
+            return step(r, s, Fleet.step(s.wave(), s.back(), Stage.WAITING, "", s.from()), "came back from the drain by itself")
+                    .need(drain, fleet.version(drain)).put(drain, null);
+        } else if (s.stage() == Stage.UNDRAIN && !fleet.permits(r.kind()).containsKey(s.name())) {
+            return step(r, s, Fleet.step(s.wave(), s.back(), Stage.UNTOUCHED, s.mark(), s.from()), "was not changed");
+        } else if (s.stage() == Stage.RESTART && !fleet.permits(r.kind()).containsKey(s.name())
+                && !mark(fleet, r, s.name()).equals(s.mark())) {
+            return step(r, s, Fleet.step(s.wave(), s.back(), Stage.BACK, mark(fleet, r, s.name()), s.from()),
+                    "is another process, and its slot was given up");
+        } else if (s.stage() == Stage.DRAIN) {
+            Member member = fleet.members().get(s.name());
+            // The broker says itself that it drains; one whose lease has lapsed says nothing, and takes nothing.
+            boolean drains = r.kind() == Kind.SEARCHER || member == null || member.state() == Fleet.State.DRAINING || !member.live();
+            long shown = Math.max(fleet.version(Fleet.drainKey(r.kind(), s.name())), member == null ? 0 : member.stateVersion());
+            if (!drains || !shown(look, shown)) {
+                return null;
+            }
+            Write write = step(r, s, Fleet.step(s.wave(), s.back(), Stage.RESTART, s.mark(), s.from()), "is drained, and restarts");
+            if (r.kind() == Kind.BROKER && r.what().equals("config")) {
+                write.put(Fleet.TARGET + s.name(), wanted(r, s));
+            }
+            return write;
+        } else if (s.stage() == Stage.BACK) {
+            Member member = fleet.members().get(s.name());
+            if (r.kind() == Kind.BROKER && s.back() && version(r, member).equals(r.to()) && !r.to().equals(s.from())) {
+                // It was between drained and restarted when the way back was ordered, and took what was new.
+                return step(r, s, Fleet.step(s.wave(), true, Stage.WAITING, "", s.from()), "took the new version; it goes back");
+            }
+            if (!mark(fleet, r, s.name()).equals(s.mark())) {
+                return step(r, s, Fleet.step(s.wave(), s.back(), Stage.BACK, mark(fleet, r, s.name()), s.from()),
+                        "died before it had settled and is another process");
+            }
+            boolean serves = r.kind() == Kind.SEARCHER ? !fleet.permits(Kind.SEARCHER).containsKey(s.name())
+                    : member != null && member.state() == Fleet.State.SERVING && member.boot().equals(s.mark());
+            return serves && look.stageMs(s) >= r.settleMs()
+                    ? step(r, s, Fleet.step(s.wave(), s.back(), Stage.SETTLED, s.mark(), s.from()), "has settled") : null;
+        }
+        return null;
+    }
+
+    /** The next member of the wave that is open, where it may go out; one at a time. */
+    private Write startOne(Fleet fleet, Permits.Facts facts, Release r) {
+        Comparator<Step> order = Comparator.comparingInt(Step::wave);
+        List<Step> open = fleet.steps().values().stream().filter(s -> s.stage() != Stage.SETTLED && s.stage() != Stage.UNTOUCHED)
+                .sorted(r.back() ? order.reversed() : order).toList();
+        if (open.isEmpty()) {
+            return null;
+        }
+        int wave = open.get(0).wave();
+        for (Step s : open) {
+            Member member = fleet.members().get(s.name());
+            boolean can = r.kind() == Kind.SEARCHER || member != null && member.state() == Fleet.State.SERVING;
+            if (s.wave() != wave || s.stage() != Stage.WAITING || !can) {
+                continue;
+            }
+            Permits.Ruling ruling = permits.grant(fleet, facts, r.kind(), s.name(), "release", "release " + r.id());
+            if (ruling.write() != null) {
+                String mark = mark(fleet, r, s.name());
+                Write write = step(r, s, Fleet.step(s.wave(), s.back(), Stage.DRAIN, mark, s.from()), "has its permit, and drains");
+                ruling.write().needs().forEach(write::need);
+                ruling.write().puts().forEach(write::put);
+                String drain = Fleet.drainKey(r.kind(), s.name());
+                return write.need(drain, fleet.version(drain)).put(drain, new Words().with("mark", mark).with("by", "release " + r.id()));
+            }
+        }
+        return null;
+    }
+
+    // ---- operators ----
+
+    /** Another progress by an operator's word. */
+    public static Write by(Fleet fleet, Progress progress, String reason) {
+        return head(fleet, fleet.release(), progress, reason);
+    }
+
+    /** The way back, over exactly those that were changed so far. */
+    public static Write back(Fleet fleet, String reason) {
+        Release r = fleet.release();
+        Write write = Write.because("release " + r.id() + " goes the way back: " + reason).need(Fleet.RELEASE, r.version())
+                .put(Fleet.RELEASE, Fleet.head(r, true, Progress.RUNNING, reason));
+        for (Step s : fleet.steps().values()) {
+            Stage stage = s.stage();
+            boolean back = true;
+            switch (s.stage()) {
+                case WAITING -> stage = Stage.UNTOUCHED;
+                case DRAIN -> {
+                    stage = Stage.UNDRAIN;
+                    String drain = Fleet.drainKey(r.kind(), s.name());
+                    write.need(drain, fleet.version(drain)).put(drain, null);
+                }
+                case BACK, SETTLED -> stage = Stage.WAITING;
+                case RESTART -> {
+                    if (r.kind() == Kind.BROKER && r.what().equals("config")) {
+                        write.put(Fleet.TARGET + s.name(), s.from());
+                    }
+                }
+                default -> back = s.back();
+            }
+            write.need(Fleet.STEP + s.name(), s.version())
+                    .put(Fleet.STEP + s.name(), Fleet.step(s.wave(), back, stage, s.mark(), s.from()));
+        }
+        return write;
+    }
+
+    /**
+     * A plan: members in waves of these sizes, the last size again for as long as there are more. What was planned
+     * or done before is replaced; what is under way is not.
+     */
+    public static Write plan(Fleet fleet, Release r, List<String> members, List<Integer> waves) {
+        Write write = Write.because("release " + r.id() + " planned: " + r.what() + " " + r.to() + " on " + members.size() + " members")
+                .need(Fleet.RELEASE, fleet.version(Fleet.RELEASE)).put(Fleet.RELEASE, Fleet.head(r, false, Progress.PLANNED, ""));
+        fleet.steps().values().forEach(s -> write.need(Fleet.STEP + s.name(), s.version()).put(Fleet.STEP + s.name(), null));
+        int wave = 1;
+        int left = waves.get(0);
+        for (String name : members) {
+            if (left == 0) {
+                left = waves.get(Math.min(wave, waves.size() - 1));
+                wave++;
+            }
+            left--;
+            Member member = fleet.members().get(name);
+            write.put(Fleet.STEP + name, Fleet.step(wave, false, Stage.WAITING, "", r.kind() == Kind.BROKER ? version(r, member) : ""));
+        }
+        return write;
+    }
+
+    /** How many members stand at each stage. */
+    public static Map<Stage, Long> count(Fleet fleet) {
+        return fleet.steps().values().stream().collect(java.util.stream.Collectors.groupingBy(Step::stage, java.util.TreeMap::new,
+                java.util.stream.Collectors.counting()));
+    }
+}
--- /dev/null
+++ b/src/test/java/reeldeal/fleet/FleetSimulation.java
@@ -0,0 +1,669 @@
+package reeldeal.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import reeldeal.fleet.Fleet.Kind;
+import reeldeal.fleet.Fleet.Permit;
+import reeldeal.fleet.Fleet.Progress;
+import reeldeal.fleet.Fleet.Stage;
+import reeldeal.fleet.members.Leases;
+import reeldeal.fleet.members.Self;
+import reeldeal.fleet.permits.Permits;
+import reeldeal.fleet.permits.Policy;
+import reeldeal.fleet.permits.Seen;
+import reeldeal.fleet.release.Health;
+import reeldeal.fleet.release.Releases;
+import reeldeal.store.Change;
+import reeldeal.store.State;
+
+/**
+ * A fleet in virtual time from one seed: processes that are killed, paused, cut off and started anew, each with its
+ * own clock; leaders that change, and some that do not know it yet; writes that are lost, late, doubled or of unknown
+ * end; searchers whose list lags; operators who halt, go back and tighten the policy. What is checked is the true
+ * state of the world, after each commit and each act, not what any node believes.
+ */
+final class FleetSimulation {
+    private static final long TERM = 3_000;
+    private static final long CHAOS = 40_000;
+    private static final long END = 400_000;
+
+    /** The modules, whole or broken on purpose. */
+    static class Parts {
+        Permits permits() {
+            return new Permits();
+        }
+
+        Releases releases(Permits permits) {
+            return new Releases(permits);
+        }
+
+        Leases leases() {
+            return new Leases(TERM);
+        }
+
+        Self self(Self.Who who, Self.Times times, Permits permits) {
+            return new Self(who, times, permits);
+        }
+
+        /** Whether a leader answers a beat only once a majority has confirmed that it still leads. */
+        boolean confirms() {
+            return true;
+        }
+
+        Write back(Fleet fleet) {
+            return Releases.back(fleet, "operator");
+        }
+    }
+
+    /** A rule that did not hold. */
+    static final class Violation extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Violation(String what) {
+            super(what);
+        }
+    }
+
+    private record Event(long at, long order, Runnable run) { }
+
+    private final class Process {
+        final String name;
+        final String boot;
+        final String config;
+        final Self self;
+        final double rate = 0.95 + rng.nextInt(1_000) / 10_000.0;
+        final long offset = rng.nextInt(1_000_000);
+        boolean alive = true;
+        boolean paused;
+        boolean cut;
+        boolean draining;
+        boolean serving;
+        String exiting;
+        long seen;
+
+        Process(String name) {
+            this.name = name;
+            boot = name + "#" + ++boots;
+            String target = latest.get(Fleet.TARGET + name);
+            boolean wrong = wrongOnce && rng.nextInt(4) == 0 && target != null;
+            wrongOnce &= !wrong;
+            config = wrong ? "wrong" : target == null ? "v0" : target;
+            self = parts.self(new Self.Who(name, boot, "s" + boot, name.hashCode() % 2 == 0 ? "a" : "b", "p", config),
+                    new Self.Times(TERM, 500, 2_000, 300), parts.permits());
+            after(50 + rng.nextInt(400), () -> run(() -> {
+                serving = true;
+                everServed.computeIfAbsent(name, n -> new HashSet<>()).add(boot);
+                self.ready(clock());
+            }));
+            tick();
+        }
+
+        long clock() {
+            return offset + (long) (now * rate);
+        }
+
+        /** Runs where the process runs; a paused one does it once it wakes. */
+        void run(Runnable what) {
+            if (!alive) {
+                return;
+            } else if (paused) {
+                after(50, () -> run(what));
+                return;
+            }
+            what.run();
+            perform();
+        }
+
+        private void tick() {
+            run(() -> {
+                if (!cut) {
+                    seen = version;
+                    self.view(clock(), latest, version, true);
+                } else {
+                    self.tick(clock());
+                }
+                after(80 + rng.nextInt(40), this::tick);
+            });
+        }
+
+        private void perform() {
+            for (Self.Act act : self.take()) {
+                if (act instanceof Self.Put put) {
+                    submit(put.write(), cut, known -> run(() -> self.ended(clock(), known)));
+                } else if (act instanceof Self.Beat beat && !cut && leading() != null) {
+                    Lead to = leading();
+                    after(delay(), () -> to.beat(this, beat));
+                } else if (act instanceof Self.Drain) {
+                    draining = true;
+                    check(latestEver(name, boot, Fleet.State.DRAINING), name + " drains while the log holds it for serving");
+                } else if (act instanceof Self.Serve) {
+                    draining = false;
+                } else if (act instanceof Self.Exit exit) {
+                    exits(exit.why());
+                }
+            }
+        }
+
+        private void exits(String why) {
+            exiting = why;
+            if (why.startsWith("release")) {
+                restarts.merge(name, 1, Integer::sum);
+                check(restarts.get(name) <= (everBack ? 2 : 1) + plans - 1, name + " was restarted " + restarts.get(name) + " times");
+            }
+            Write gone = self.gone();
+            if (gone != null && rng.nextInt(5) > 0) {
+                submit(gone, cut, known -> { });
+            }
+            after(100 + rng.nextInt(800), () -> {
+                alive = false;
+                serving = false;
+            });
+            after(1_000 + rng.nextInt(2_000), () -> startAnew(name));
+        }
+
+        boolean orderlyOut() {
+            return draining && (exiting == null || !exiting.contains("unplanned"));
+        }
+    }
+
+    private final class Lead {
+        final int id;
+        final Coordinator coordinator;
+        final double rate = 0.95 + rng.nextInt(1_000) / 10_000.0;
+        boolean believes;
+        boolean cut;
+
+        Lead(int id) {
+            this.id = id;
+            Permits permits = parts.permits();
+            coordinator = new Coordinator(permits, parts.releases(permits), parts.leases());
+            tick();
+        }
+
+        long clock() {
+            return (long) (now * rate);
+        }
+
+        private void tick() {
+            if (!cut) {
+                coordinator.view(clock(), latest);
+                coordinator.searchers(lists.isEmpty() ? null : lists.get(Math.max(0, lists.size() - 1 - id)),
+                        new Permits.Shards(4, 4, 2));
+            }
+            Write write = believes ? coordinator.next(clock()) : null;
+            if (write != null) {
+                long term = leaderSince;
+                submit(write, cut || leader != id, () -> leader == id && leaderSince == term, known -> coordinator.ended());
+            }
+            after(100 + rng.nextInt(50), this::tick);
+        }
+
+        void beat(Process from, Self.Beat beat) {
+            if (!believes) {
+                return;
+            }
+            long came = now;
+            boolean taken = coordinator.beat(clock(), from.name, beat.incarnation(), beat.seen(), new Health.Counts(0, 0, 0, 0, 0));
+            after(1 + rng.nextInt(20), () -> {
+                boolean confirmed = leader == id && leaderSince <= came;
+                if (taken && (confirmed || !parts.confirms()) && !from.cut && rng.nextInt(20) > 0) {
+                    after(delay(), () -> from.run(() -> from.self.answered(from.clock(), beat.incarnation(), beat.sentAt())));
+                }
+            });
+        }
+    }
+
+    private final class Searcher {
+        final String name;
+        final int cell;
+        boolean up = true;
+        long since = 1;
+        boolean ordered;
+
+        Searcher(int i) {
+            name = "s" + i;
+            cell = i % 4;
+        }
+
+        void restart(long down) {
+            up = false;
+            after(down, () -> {
+                up = true;
+                since = Math.max(since + 1, now);
+                ordered = false;
+            });
+        }
+    }
+
+    private final UniformRandomProvider rng;
+    private final Parts parts;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
+            : Long.compare(a.order(), b.order()));
+    private final State state = new State();
+    private Fleet latest = new Fleet(Map.of());
+    private long version;
+    private final Map<String, Process> processes = new TreeMap<>();
+    private final List<Process> all = new ArrayList<>();
+    private final Map<String, Set<String>> everServed = new HashMap<>();
+    private final Set<String> everDraining = new HashSet<>();
+    private final Map<String, Integer> restarts = new HashMap<>();
+    private final List<Lead> leads = new ArrayList<>();
+    private final Map<String, Searcher> searchers = new TreeMap<>();
+    private final List<Map<String, Seen>> lists = new ArrayList<>();
+    private final List<String> trace = new ArrayList<>();
+    private final Kind kind;
+    private final int size;
+    private final int trouble;
+    private int leader = -1;
+    private long leaderSince;
+    private long now;
+    private long order;
+    private int boots;
+    private boolean wrongOnce;
+    private boolean everBack;
+    private int plans;
+    private boolean healed;
+    /** How releases ended, for a count of what the seeds cover. */
+    String end = "";
+    int commits;
+
+    FleetSimulation(long seed, Parts parts) {
+        this.parts = parts;
+        rng = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        kind = rng.nextInt(3) == 0 ? Kind.SEARCHER : Kind.BROKER;
+        size = rng.nextInt(40) == 0 ? 30 + rng.nextInt(31) : 5 + rng.nextInt(8);
+        trouble = rng.nextInt(4) * 3;
+        wrongOnce = kind == Kind.BROKER && rng.nextInt(4) == 0;
+        for (int i = 0; i < 12; i++) {
+            searchers.put("s" + i, new Searcher(i));
+        }
+        for (int i = 0; i < 3; i++) {
+            leads.add(new Lead(i));
+        }
+        elect();
+        commit(Write.because("policy").put(Fleet.POLICY, new Words().with("brokers_out", rng.nextBoolean() ? "1" : "25%")
+                .with("searchers_out", rng.nextBoolean() ? "2" : "25%").with("apart_ms", rng.nextInt(3) * 300)));
+        for (int i = 0; i < size; i++) {
+            int n = i;
+            after(rng.nextInt(300), () -> startAnew("b" + n));
+        }
+        list();
+        after(4_000, this::plan);
+        after(5_000 + rng.nextInt(2_000), this::trouble);
+        after(CHAOS, this::heal);
+    }
+
+    // ---- the world ----
+
+    private void after(long delay, Runnable run) {
+        events.add(new Event(now + delay, order++, run));
+    }
+
+    private long delay() {
+        return rng.nextInt(25) == 0 ? rng.nextInt(2_500) : 1 + rng.nextInt(20);
+    }
+
+    private void check(boolean holds, String what) {
+        if (!holds) {
+            throw new Violation(what);
+        }
+    }
+
+    private void note(String what) {
+        trace.add(now + " " + what);
+    }
+
+    List<String> trace() {
+        return trace.subList(Math.max(0, trace.size() - 60), trace.size());
+    }
+
+    /** Plays to the end, which must come: nothing may stay out or under way once all is healed. */
+    void play() {
+        while (!events.isEmpty() && end.isEmpty()) {
+            Event e = events.poll();
+            now = e.at();
+            e.run().run();
+            check(now < END, "no end: " + (latest.release() == null ? "no release" : latest.release() + " " + latest.steps().values())
+                    + ", out " + latest.permits(Kind.BROKER).keySet() + latest.permits(Kind.SEARCHER).keySet());
+        }
+    }
+
+    private void startAnew(String name) {
+        Process was = processes.get(name);
+        if (was == null || !was.alive) {
+            Process fresh = new Process(name);
+            processes.put(name, fresh);
+            all.add(fresh);
+        }
+    }
+
+    private Lead leading() {
+        List<Lead> believe = leads.stream().filter(l -> l.believes).toList();
+        return believe.isEmpty() ? null : rng.nextInt(10) == 0 || leader < 0 ? believe.get(rng.nextInt(believe.size())) : leads.get(leader);
+    }
+
+    private void elect() {
+        if (leader >= 0) {
+            Lead old = leads.get(leader);
+            old.cut = rng.nextBoolean();
+            after(rng.nextInt(2_500), () -> {
+                if (leader != old.id) {
+                    old.believes = false;
+                    old.coordinator.end();
+                }
+                old.cut = false;
+            });
+        }
+        long without = rng.nextInt(6) == 0 ? 11_000 : rng.nextInt(1_000);
+        leader = -1;
+        after(leads.get(0).coordinator == null ? 0 : without, () -> {
+            if (leader < 0) {
+                leader = rng.nextInt(3);
+                leaderSince = now;
+                Lead fresh = leads.get(leader);
+                fresh.believes = true;
+                fresh.cut = false;
+                fresh.coordinator.begin(fresh.clock(), without);
+                note("leads " + leader);
+            }
+        });
+    }
+
+    private void submit(Write write, boolean cut, Consumer<Boolean> ended) {
+        submit(write, cut, () -> true, ended);
+    }
+
+    /** What a leader proposes itself is in the log before the next leader begins, or never. */
+    private void submit(Write write, boolean cut, java.util.function.BooleanSupplier stands, Consumer<Boolean> ended) {
+        boolean lost = cut || leader < 0 || rng.nextInt(25) == 0;
+        int copies = lost ? 0 : rng.nextInt(20) == 0 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            after(delay(), () -> {
+                if (stands.getAsBoolean()) {
+                    commit(write);
+                }
+            });
+        }
+        boolean known = copies > 0 && rng.nextInt(15) > 0;
+        after(known ? 30 : 1_500, () -> ended.accept(known));
+    }
+
+    private void commit(Write write) {
+        List<State.Expect> expects = write.needs().entrySet().stream().map(e -> new State.Expect(e.getKey(), e.getValue())).toList();
+        List<Change> changes = write.puts().entrySet().stream().map(e -> new Change(e.getKey(), e.getValue())).toList();
+        List<Change> changed = new ArrayList<>();
+        state.apply(++version, State.encode(new State.Command("", 0, expects, changes)), changed);
+        if (changed.isEmpty()) {
+            return;
+        }
+        commits++;
+        note(write.why());
+        Map<String, Fleet.Value> values = new TreeMap<>();
+        state.under(Fleet.ROOT).forEach((k, v) -> values.put(k, new Fleet.Value(v.text(), v.version())));
+        Fleet before = latest;
+        latest = new Fleet(values);
+        judge(before);
+    }
+
+    // ---- the rules, against the true state ----
+
+    private boolean latestEver(String name, String boot, Fleet.State ofState) {
+        return ofState == Fleet.State.DRAINING && everDraining.contains(boot);
+    }
+
+    private void judge(Fleet before) {
+        for (Fleet.Member m : latest.members().values()) {
+            Fleet.Member was = before.members().get(m.name());
+            if (m.state() == Fleet.State.DRAINING) {
+                everDraining.add(m.boot());
+            }
+            if (m.state() == Fleet.State.LAPSED && (was == null || was.state() != Fleet.State.LAPSED)) {
+                Process p = processes.get(m.name());
+                check(p == null || !p.alive || p.paused || !p.boot.equals(m.boot()) || !p.self.holds(p.clock()),
+                        m.name() + " holds its lease while the leader ends it");
+            }
+        }
+        for (Permit p : before.permits(Kind.BROKER).values()) {
+            if (!latest.permits(Kind.BROKER).containsKey(p.name())) {
+                freedBroker(p);
+            }
+        }
+        for (Permit p : before.permits(Kind.SEARCHER).values()) {
+            if (!latest.permits(Kind.SEARCHER).containsKey(p.name())) {
+                Searcher s = searchers.get(p.name());
+                check(s.since > Long.parseLong(p.mark()) && now - s.since >= 0 || !s.ordered,
+                        "the slot of searcher " + p.name() + " was freed before its restart");
+                check(s.since <= Long.parseLong(p.mark()) || now - s.since >= 1_500 || !s.up, p.name() + " counts as back while it is cold");
+            }
+        }
+        for (Kind k : Kind.values()) {
+            Set<String> fresh = new TreeSet<>(latest.permits(k).keySet());
+            fresh.removeAll(before.permits(k).keySet());
+            fresh.removeIf(n -> !latest.permits(k).get(n).planned());
+            check(fresh.size() <= 1, "two grants at once");
+            if (!fresh.isEmpty()) {
+                long out = k == Kind.BROKER ? orderlyOut(fresh) : searchersOut(fresh);
+                long most = k == Kind.BROKER ? Policy.of(latest.policy().brokersOut(), latest.members().size())
+                        : Policy.of(latest.policy().searchersOut(), latest.searchers().size());
+                check(out <= most, out + " out after a grant to " + fresh + ", " + most + " allowed: " + all.stream().filter(p -> p.orderlyOut()).map(p -> p.boot + "/" + p.alive + "/" + p.exiting + "/" + processes.get(p.name).boot).toList());
+            }
+        }
+        steps(before);
+    }
+
+    private void freedBroker(Permit p) {
+        boolean newer = everServed.getOrDefault(p.name(), Set.of()).stream().anyMatch(b -> !b.equals(p.mark()));
+        Process it = all.stream().filter(q -> q.boot.equals(p.mark())).findFirst().orElseThrow();
+        check(newer || !it.draining, "the slot of " + p.name() + " was freed without evidence of its return");
+        check(newer || it.exiting == null || !it.alive, "the slot of " + p.name() + " was freed while it ends");
+    }
+
+    /** The brokers that are out by an order or are about to be, whether their processes live or not. */
+    private long orderlyOut(Set<String> granted) {
+        Set<String> out = new TreeSet<>(granted);
+        for (Process p : all) {
+            boolean replaced = all.subList(all.indexOf(p) + 1, all.size()).stream().anyMatch(q -> q.name.equals(p.name)
+                    && everServed.getOrDefault(p.name, Set.of()).contains(q.boot));
+            if (p.orderlyOut() && !replaced) {
+                out.add(p.name);
+            }
+        }
+        return out.size();
+    }
+
+    private long searchersOut(Set<String> granted) {
+        Set<String> out = new TreeSet<>(granted);
+        searchers.values().stream().filter(s -> s.ordered).forEach(s -> out.add(s.name));
+        return out.size();
+    }
+
+    private void steps(Fleet before) {
+        Fleet.Release r = latest.release();
+        for (Fleet.Step s : latest.steps().values()) {
+            Fleet.Step was = before.steps().get(s.name());
+            if (was == null || was.stage() == s.stage()) {
+                continue;
+            }
+            if (s.stage() == Stage.DRAIN || s.stage() == Stage.RESTART && was.stage() != Stage.RESTART) {
+                check(before.release().runs(), s.name() + " goes to " + s.stage() + " while the release is " + before.release().progress());
+            }
+            if (s.stage() == Stage.RESTART) {
+                long shown = latest.version(Fleet.drainKey(r.kind(), s.name()));
+                for (Process p : processes.values()) {
+                    check(!p.alive || p.paused || !p.self.holds(p.clock()) || p.seen >= shown,
+                            s.name() + " restarts while " + p.name + " has not seen its drain");
+                }
+                if (r.kind() == Kind.SEARCHER) {
+                    Searcher it = searchers.get(s.name());
+                    if (it.since == Long.parseLong(s.mark())) {
+                        it.ordered = true;
+                        after(100 + rng.nextInt(2_000), () -> {
+                            restarts.merge(it.name, 1, Integer::sum);
+                            check(restarts.get(it.name) <= (everBack ? 2 : 1), it.name + " was restarted " + restarts.get(it.name) + " times");
+                            it.restart(200 + rng.nextInt(2_000));
+                        });
+                    }
+                }
+            }
+        }
+        if (r != null && r.progress() == Progress.DONE && before.release().progress() != Progress.DONE && r.kind() == Kind.BROKER) {
+            for (Fleet.Step s : latest.steps().values()) {
+                Process p = processes.get(s.name());
+                String wants = r.back() ? "v0" : r.to();
+                check(!p.alive || p.config.equals(wants), "done, and " + p.name + " runs " + p.config + ", not " + wants);
+            }
+        }
+    }
+
+    // ---- what happens ----
+
+    private void list() {
+        Map<String, Seen> seen = new TreeMap<>();
+        searchers.values().stream().filter(s -> s.up).forEach(s -> seen.put(s.name, new Seen(s.name, "a", "k", s.cell, s.since, true,
+                s.since == 1 || now - s.since >= 1_500, false)));
+        lists.add(seen);
+        after(200, this::list);
+    }
+
+    private void plan() {
+        List<String> names = kind == Kind.BROKER ? List.copyOf(latest.members().keySet()) : List.copyOf(searchers.keySet());
+        if (kind == Kind.BROKER && names.size() < size || latest.searchers().size() < searchers.size()
+                || latest.members().values().stream().anyMatch(m -> m.state() != Fleet.State.SERVING)) {
+            after(500, this::plan);
+            return;
+        }
+        plans++;
+        Fleet.Release r = new Fleet.Release("r" + plans, kind, "config", "v1", false, Progress.PLANNED, "", 500, 20_000, 0);
+        commit(Releases.plan(latest, r, names, List.of(1, 2, 4)));
+        commit(Releases.by(latest, Progress.RUNNING, "operator"));
+        after(500 + rng.nextInt(20_000), this::operator);
+    }
+
+    /** An operator's word, decided on what was read a moment before. */
+    private void operator() {
+        Fleet.Release r = latest.release();
+        if (r.progress() == Progress.DONE && r.back()) {
+            return;
+        }
+        Write word = null;
+        if (!r.back() && rng.nextInt(4) == 0) {
+            word = parts.back(latest);
+        } else if (r.runs()) {
+            word = Releases.by(latest, rng.nextBoolean() ? Progress.HALTED : Progress.PAUSED, "operator");
+        } else if (r.progress() != Progress.DONE) {
+            word = Releases.by(latest, Progress.RUNNING, "operator");
+        }
+        if (word != null) {
+            Write decided = word;
+            long decidedAt = latest.version(Fleet.RELEASE);
+            after(delay(), () -> {
+                commit(decided);
+                everBack |= latest.release().back();
+                note("operator, release at " + decidedAt);
+            });
+        }
+        if (!healed) {
+            after(1_000 + rng.nextInt(8_000), this::operator);
+        }
+    }
+
+    private void trouble() {
+        if (healed) {
+            return;
+        }
+        List<Process> up = processes.values().stream().filter(p -> p.alive).toList();
+        Process p = up.isEmpty() ? null : up.get(rng.nextInt(up.size()));
+        switch (rng.nextInt(12) < trouble ? rng.nextInt(8) : 9) {
+            case 0 -> {
+                if (p != null) {
+                    note("kill " + p.boot);
+                    p.alive = false;
+                    p.serving = false;
+                    after(500 + rng.nextInt(6_000), () -> startAnew(p.name));
+                }
+            }
+            case 1, 2 -> {
+                if (p != null) {
+                    note("pause " + p.boot);
+                    p.paused = true;
+                    after(200 + rng.nextInt(8_000), () -> p.paused = false);
+                }
+            }
+            case 3 -> {
+                if (p != null) {
+                    note("cut " + p.boot);
+                    p.cut = true;
+                    after(200 + rng.nextInt(8_000), () -> p.cut = false);
+                }
+            }
+            case 4, 5 -> elect();
+            case 6 -> {
+                Searcher s = searchers.get("s" + rng.nextInt(12));
+                if (s.up) {
+                    note("kill " + s.name);
+                    s.restart(500 + rng.nextInt(4_000));
+                }
+            }
+            case 7 -> {
+                if (p != null && rng.nextInt(3) == 0) {
+                    note("terminate " + p.boot);
+                    p.run(() -> p.self.terminate(p.clock()));
+                } else {
+                    commit(Write.because("policy").put(Fleet.POLICY, new Words().with("brokers_out", 1 + rng.nextInt(3))
+                            .with("searchers_out", 1 + rng.nextInt(3)).with("apart_ms", 100)));
+                }
+            }
+            default -> { }
+        }
+        after(200 + rng.nextInt(1_500), this::trouble);
+    }
+
+    /** All is put right; operators resume what has halted, or go back, until it is done. */
+    private void heal() {
+        healed = true;
+        processes.values().forEach(p -> {
+            p.paused = false;
+            p.cut = false;
+        });
+        leads.forEach(l -> l.cut = false);
+        if (leader < 0) {
+            elect();
+        }
+        after(8_000, this::finish);
+    }
+
+    private void finish() {
+        processes.keySet().forEach(this::startAnew);
+        Fleet.Release r = latest.release();
+        if (r != null && r.progress() == Progress.DONE) {
+            if (latest.permits(Kind.BROKER).isEmpty() && latest.permits(Kind.SEARCHER).isEmpty()
+                    && latest.members().values().stream().allMatch(m -> m.state() == Fleet.State.SERVING)) {
+                end = r.back() ? "back" : "done";
+                return;
+            }
+        } else if (r != null && !r.runs()) {
+            if (!r.back() && r.reason().contains("came back with")) {
+                commit(parts.back(latest));
+                everBack = true;
+            } else {
+                if (r.reason().contains("came back with")) {
+                    Process wrong = processes.get(r.reason().split(" ")[0]);
+                    wrong.alive = false; // the operator puts it right by hand
+                    startAnew(wrong.name);
+                }
+                commit(Releases.by(latest, Progress.RUNNING, "operator"));
+            }
+        }
+        after(4_000, this::finish);
+    }
+}
--- /dev/null
+++ b/src/test/java/reeldeal/fleet/FleetSimulationTest.java
@@ -0,0 +1,243 @@
+package reeldeal.fleet;
+
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.junit.Test;
+import reeldeal.fleet.Fleet.Member;
+import reeldeal.fleet.Fleet.Permit;
+import reeldeal.fleet.Fleet.Release;
+import reeldeal.fleet.Fleet.Step;
+import reeldeal.fleet.members.Lease;
+import reeldeal.fleet.members.Leases;
+import reeldeal.fleet.members.Self;
+import reeldeal.fleet.permits.Permits;
+import reeldeal.fleet.release.Releases;
+
+/** Leases, permits and releases in the simulator: whole over a fixed set of seeds, and broken on purpose. */
+public class FleetSimulationTest {
+    private static final int SEEDS = 60;
+    private static final int MOST = 600;
+
+    /** Ways in which the modules can be broken; each must be found. */
+    private static Map<String, FleetSimulation.Parts> broken() {
+        Map<String, FleetSimulation.Parts> broken = new LinkedHashMap<>();
+        broken.put("brokers out are not counted", permits(new Permits() {
+            @Override
+            protected String overBrokers(Fleet fleet, Set<String> out) {
+                return null;
+            }
+        }));
+        broken.put("grants are not serialised", permits(new Permits() {
+            @Override
+            protected void serial(Fleet fleet, Write write) { }
+
+            @Override
+            public Ruling grant(Fleet fleet, Facts facts, Fleet.Kind kind, String name, String by, String reason) {
+                Ruling ruling = super.grant(fleet, facts, kind, name, by, reason);
+                if (ruling.write() != null) {
+                    ruling.write().needs().keySet().removeIf(k -> k.startsWith(Fleet.STATE));
+                }
+                return ruling;
+            }
+        }));
+        broken.put("a slot is freed once its holder has lapsed", permits(new Permits() {
+            @Override
+            protected String brokerBack(Fleet fleet, Permit permit) {
+                Member m = fleet.members().get(permit.name());
+                return m != null && !m.live() ? "lapsed" : super.brokerBack(fleet, permit);
+            }
+        }));
+        broken.put("a slot is freed by a registration, before it serves", permits(new Permits() {
+            @Override
+            protected String brokerBack(Fleet fleet, Permit permit) {
+                Member m = fleet.members().get(permit.name());
+                return m != null && !m.boot().equals(permit.mark()) ? "registered" : super.brokerBack(fleet, permit);
+            }
+        }));
+        broken.put("a searcher counts as back while it is cold", permits(new Permits() {
+            @Override
+            protected String searcherBack(Fleet fleet, Facts facts, Permit permit) {
+                var seen = facts.searchers().get(permit.name());
+                return seen != null && seen.since() > Long.parseLong(permit.mark()) ? "listed" : super.searcherBack(fleet, facts, permit);
+            }
+        }));
+        broken.put("a searcher whose restart is ordered counts as back unrestarted", permits(new Permits() {
+            @Override
+            protected String searcherBack(Fleet fleet, Facts facts, Permit permit) {
+                return facts.searchers().containsKey(permit.name()) ? "listed" : null;
+            }
+        }));
+        broken.put("a new leader ends leases that it never heard of", new FleetSimulation.Parts() {
+            @Override
+            Leases leases() {
+                return new Leases(3_000) {
+                    @Override
+                    protected long last(Member m) {
+                        long last = super.last(m);
+                        return last - 2_500;
+                    }
+                };
+            }
+        });
+        broken.put("the holder counts no skew of clocks", self((who, times, permits) -> new Self(who, times, permits) {
+            @Override
+            protected Lease lease(long termMs) {
+                return new Lease(termMs) {
+                    @Override
+                    protected long holds() {
+                        return termMs + termMs / 10;
+                    }
+                };
+            }
+        }));
+        broken.put("a beat is answered by whoever believes that it leads", new FleetSimulation.Parts() {
+            @Override
+            boolean confirms() {
+                return false;
+            }
+        });
+        broken.put("a restart is obeyed by whatever process has the name", self((who, times, permits) -> new Self(who, times, permits) {
+            @Override
+            protected boolean mayRestart(Step step, Member me) {
+                return step.stage() == Fleet.Stage.RESTART;
+            }
+        }));
+        broken.put("a broker drains before the log has its word", self((who, times, permits) -> new Self(who, times, permits) {
+            @Override
+            protected boolean mayDrain(Member me) {
+                return super.mayDrain(me) || fleetDrains();
+            }
+        }));
+        broken.put("steps do not need the release's version", releases(permits -> new Releases(permits) {
+            @Override
+            protected void fence(Release r, Write write) { }
+        }));
+        broken.put("a member restarts before its drain is shown to all", releases(permits -> new Releases(permits) {
+            @Override
+            protected boolean shown(Look look, long version) {
+                return true;
+            }
+        }));
+        broken.put("wrong versions halt nothing", releases(permits -> new Releases(permits) {
+            @Override
+            protected String halts(Fleet fleet, Permits.Facts facts, Look look, Release r) {
+                String halt = super.halts(fleet, facts, look, r);
+                return halt != null && halt.contains("came back with") ? null : halt;
+            }
+        }));
+        broken.put("the way back leaves out who had settled", new FleetSimulation.Parts() {
+            @Override
+            Write back(Fleet fleet) {
+                Write write = super.back(fleet);
+                fleet.steps().values().stream().filter(s -> s.stage() == Fleet.Stage.SETTLED).forEach(s -> write.put(Fleet.STEP + s.name(),
+                        Fleet.step(s.wave(), true, Fleet.Stage.UNTOUCHED, s.mark(), s.from())));
+                return write;
+            }
+        });
+        return broken;
+    }
+
+    private interface Selves {
+        Self make(Self.Who who, Self.Times times, Permits permits);
+    }
+
+    private static FleetSimulation.Parts self(Selves selves) {
+        return new FleetSimulation.Parts() {
+            @Override
+            Self self(Self.Who who, Self.Times times, Permits permits) {
+                return selves.make(who, times, permits);
+            }
+        };
+    }
+
+    private static FleetSimulation.Parts permits(Permits permits) {
+        return new FleetSimulation.Parts() {
+            @Override
+            Permits permits() {
+                return permits;
+            }
+        };
+    }
+
+    private static FleetSimulation.Parts releases(java.util.function.Function<Permits, Releases> make) {
+        return new FleetSimulation.Parts() {
+            @Override
+            Releases releases(Permits permits) {
+                return make.apply(permits);
+            }
+        };
+    }
+
+    private static Object[] find(FleetSimulation.Parts parts, int most) {
+        for (int seed = 1; seed <= most; seed++) {
+            try {
+                new FleetSimulation(seed, parts).play();
+            } catch (FleetSimulation.Violation e) {
+                return new Object[] {seed, e.getMessage()};
+            }
+        }
+        return null;
+    }
+
+    @Test
+    public void leasesPermitsAndReleasesKeepTheirPromisesOverAFixedSetOfSeeds() {
+        Map<String, Integer> ends = new HashMap<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            FleetSimulation sim = new FleetSimulation(seed, new FleetSimulation.Parts());
+            try {
+                sim.play();
+            } catch (RuntimeException e) {
+                throw new AssertionError("seed " + seed + ": " + e + "\n" + String.join("\n", sim.trace()), e);
+            }
+            ends.merge(sim.end, 1, Integer::sum);
+        }
+        assertTrue("releases end both ways: " + ends, ends.get("done") > SEEDS / 8 && ends.get("back") > SEEDS / 8);
+    }
+
+    @Test
+    public void eachWayOfBreakingTheModulesIsFound() {
+        broken().forEach((how, parts) -> assertNotNull("not found: " + how, find(parts, MOST)));
+    }
+
+    /** By command: {@code run FROM TO} plays seeds, {@code broken MOST} says after how many each break is found. */
+    public static void main(String[] args) {
+        if (args[0].equals("trace")) { // a seed under the break whose name holds a word
+            broken().forEach((how, parts) -> {
+                FleetSimulation sim = new FleetSimulation(Long.parseLong(args[1]), parts);
+                try {
+                    if (how.contains(args[2])) {
+                        sim.play();
+                    }
+                } catch (FleetSimulation.Violation e) {
+                    System.out.println(e.getMessage() + "\n" + String.join("\n", sim.trace()));
+                }
+            });
+            return;
+        }
+        if (args[0].equals("broken")) {
+            broken().forEach((how, parts) -> {
+                Object[] found = find(parts, Integer.parseInt(args[1]));
+                System.out.println("| " + how + " | " + (found == null ? "not found |" : found[0] + " | " + found[1] + " |"));
+            });
+            return;
+        }
+        Map<String, Integer> ends = new HashMap<>();
+        long from = System.nanoTime();
+        for (long seed = Long.parseLong(args[1]); seed <= Long.parseLong(args[2]); seed++) {
+            FleetSimulation sim = new FleetSimulation(seed, new FleetSimulation.Parts());
+            try {
+                sim.play();
+            } catch (RuntimeException e) {
+                System.out.println("seed " + seed + ": " + e + "\n" + String.join("\n", sim.trace()));
+                System.exit(1);
+            }
+            ends.merge(sim.end, 1, Integer::sum);
+        }
+        System.out.println(ends + " in " + (System.nanoTime() - from) / 1_000_000 + " ms");
+    }
+}
--- a/src/test/java/reeldeal/serve/LayoutTest.java
+++ b/src/test/java/reeldeal/serve/LayoutTest.java
@@ -22,7 +22,7 @@
         Pattern line = Pattern.compile("(?m)^import (?:static )?((?:reeldeal|io\\.netty|com\\.fasterxml)\\.[a-z.]*[a-z])");
         try (Stream<Path> files = Files.walk(Path.of("src/main/java/reeldeal"))) {
             for (Path f : files.filter(f -> f.toString().endsWith(".java")).toList()) {
-                String name = "reeldeal." + f.getParent().getFileName();
+                String name = "reeldeal." + Path.of("src/main/java/reeldeal").relativize(f.getParent()).toString().replace('/', '.');
                 Set<String> of = imports.computeIfAbsent(name, n -> new TreeSet<>());
                 for (Matcher m = line.matcher(Files.readString(f)); m.find();) {
                     of.add(m.group(1));
