--- /dev/null
+++ b/src/main/java/reeldeal/cli/DrillCommand.java
@@ -0,0 +1,60 @@
+package reeldeal.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import reeldeal.config.Config;
+import reeldeal.config.Scenario;
+import reeldeal.drill.Drill;
+
+/** Plays a scenario with real processes on this machine. */
+@Command(name = "drill", description = {"Starts a fleet of this program on loopback, with stand-in searchers and a load, puts the scenario's",
+    "faults between the processes, and checks the rules over all that happened. 0: all hold, 1: some do not."}, mixinStandardHelpOptions = true)
+final class DrillCommand implements Callable<Integer> {
+    @Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Parameters(paramLabel = "SCENARIO", description = "A scenario's file, as in deploy/drill.")
+    private Path scenario;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(names = "--runs", defaultValue = "1", description = "How many, with one seed after the other.")
+    private int runs;
+
+    @Option(names = "--out", defaultValue = "target/drill", paramLabel = "FOLDER", description = "Default: ${DEFAULT-VALUE}.")
+    private Path out;
+
+    @Option(names = "--jar", paramLabel = "FILE", description = "The program to start (default: this one).")
+    private Path jar;
+
+    @Override
+    public Integer call() throws Exception {
+        Scenario play;
+        try {
+            play = Scenario.read(scenario);
+        } catch (Config.Invalid e) {
+            throw new Commands.Failed(Commands.BAD_INPUT, e.getMessage());
+        }
+        int broken = 0;
+        for (long s = seed; s < seed + runs; s++) {
+            Path folder = out.resolve(play.name() + "-" + s).toAbsolutePath();
+            if (java.nio.file.Files.exists(folder)) {
+                throw new Commands.Failed(Commands.BAD_INPUT, "--out: " + folder + " is there already");
+            }
+            try (Drill drill = new Drill(play, s, folder, jar)) {
+                Drill.Result result = drill.play();
+                broken += result.broken().isEmpty() ? 0 : 1;
+                spec.commandLine().getOut().println(play.name() + " seed " + s + ": " + (result.broken().isEmpty() ? "all rules hold" : result.broken())
+                        + " " + result.figures());
+                spec.commandLine().getOut().flush();
+            }
+        }
+        return broken == 0 ? 0 : Commands.REFUSED;
+    }
+}
--- a/src/main/java/reeldeal/cli/StoreCommands.java
+++ b/src/main/java/reeldeal/cli/StoreCommands.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
@@ -21,8 +22,8 @@
 import reeldeal.store.Backup;
 import reeldeal.store.State;
 
-/** Commands on a store's folders and backups; all work on files, while the node is down. */
-@Command(name = "store", description = "Checks a node's folder, and makes new groups from backups.",
+/** Commands on a store: on folders and backups while the node is down, on the nodes of a running group. */
+@Command(name = "store", description = "Checks a node's folder, makes new groups from backups, changes who is in a running group.",
         mixinStandardHelpOptions = true)
 public final class StoreCommands implements Runnable {
     @Spec
@@ -30,7 +31,8 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "expected check, export, inspect or restore");
+        throw new CommandLine.ParameterException(spec.commandLine(), "expected check, export, inspect, restore, nodes, add, "
+                + "promote, demote, remove, replace or level");
     }
 
     private void say(String line) {
@@ -159,4 +161,49 @@
             throw new Commands.Failed(Commands.BAD_INPUT, e.getMessage());
         }
     }
+
+    // ---- a running group ----
+
+    private int ask(NodeTarget target, String... words) throws Commands.Failed {
+        say(target.ask("store " + String.join(" ", words)));
+        return 0;
+    }
+
+    @Command(description = "The nodes of the group: who votes, who leads, who is heard.", mixinStandardHelpOptions = true)
+    int nodes(@Mixin NodeTarget target) throws Commands.Failed {
+        return ask(target, "nodes");
+    }
+
+    @Command(description = "Takes a node into the group, as one that only follows.", mixinStandardHelpOptions = true)
+    int add(@Mixin NodeTarget target, @Parameters(paramLabel = "NAME") String name,
+            @Parameters(paramLabel = "HOST:PORT") String address) throws Commands.Failed {
+        return ask(target, "add", name, address);
+    }
+
+    @Command(description = "Lets a node that follows vote.", mixinStandardHelpOptions = true)
+    int promote(@Mixin NodeTarget target, @Parameters(paramLabel = "NAME") String name) throws Commands.Failed {
+        return ask(target, "promote", name);
+    }
+
+    @Command(description = "Lets a voter only follow.", mixinStandardHelpOptions = true)
+    int demote(@Mixin NodeTarget target, @Parameters(paramLabel = "NAME") String name) throws Commands.Failed {
+        return ask(target, "demote", name);
+    }
+
+    @Command(description = "Takes a node out of the group.", mixinStandardHelpOptions = true)
+    int remove(@Mixin NodeTarget target, @Parameters(paramLabel = "NAME") String name) throws Commands.Failed {
+        return ask(target, "remove", name);
+    }
+
+    @Command(description = "Lets a node that follows vote in the place of another, which is taken out.", mixinStandardHelpOptions = true)
+    int replace(@Mixin NodeTarget target, @Parameters(paramLabel = "OLD") String old, @Parameters(paramLabel = "NEW") String fresh)
+            throws Commands.Failed {
+        return ask(target, "replace", old, fresh);
+    }
+
+    @Command(description = {"Which forms the log may have. Raised, no earlier program can take part any more: the way",
+        "back is closed."}, mixinStandardHelpOptions = true)
+    int level(@Mixin NodeTarget target, @Option(names = "--raise") boolean raise) throws Commands.Failed {
+        return raise ? ask(target, "level", "raise") : ask(target, "level");
+    }
 }
--- /dev/null
+++ b/src/main/java/reeldeal/config/Scenario.java
@@ -0,0 +1,94 @@
+package reeldeal.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import reeldeal.config.Config.Invalid;
+
+/**
+ * A drill: a fleet, its load, what is ordered and what goes wrong.
+ *
+ * @param voters nodes that vote
+ * @param brokers further brokers, which only follow
+ * @param searchers stand-ins, spread over four cells
+ * @param perSecond queries a second over all clients
+ * @param policy what the fleet's policy is set to
+ * @param release whether a configuration is released; with {@code waves}, {@code settleMs} and {@code stepMs}
+ * @param onHalt what the operator orders once it has halted and the faults are over: {@code back} or {@code resume}
+ * @param dropPct, delayPct, doublePct of frames between nodes, for as long as faults are on
+ * @param faultsMs for how long faults go on, from the beginning of the release
+ * @param actions what is done when, in ms from the beginning of the release
+ */
+public record Scenario(String name, int voters, int brokers, int searchers, int perSecond, Map<String, String> policy, boolean release,
+        String waves, long settleMs, long stepMs, String onHalt, int dropPct, int delayPct, int doublePct, long faultsMs,
+        List<Action> actions) {
+
+    /**
+     * One thing that is done: {@code kill}, {@code pause}, {@code cut} or {@code deafen} (it sends and does not receive)
+     * of {@code who}, for so long, or {@code order} with the words of an operator. {@code who} is a node, {@code leader},
+     * {@code voter}, {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), or {@code third}.
+     */
+    public record Action(long atMs, String verb, String who, long forMs) { }
+
+    private static final Set<String> KNOWN = Set.of("name", "voters", "brokers", "searchers", "per_second", "release", "waves", "settle_ms",
+            "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count");
+    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate");
+
+    /** Reads a scenario; throws Invalid naming the place of what is wrong. */
+    public static Scenario read(Path file) throws Invalid {
+        Map<String, String> v = new HashMap<>();
+        try (JsonParser json = new JsonFactory().createParser(Files.readAllBytes(file))) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new Invalid(file + ": not a JSON object");
+            }
+            JsonPaths.read(json, "", v, 0);
+        } catch (IOException e) {
+            throw new Invalid(file + ": cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        Map<String, String> policy = new HashMap<>();
+        for (Map.Entry<String, String> e : v.entrySet()) {
+            if (e.getKey().startsWith("policy.")) {
+                policy.put(e.getKey().substring("policy.".length()), e.getValue());
+            } else if (!KNOWN.contains(e.getKey()) && !e.getKey().startsWith("actions.")) {
+                throw new Invalid(file + ": no such setting: " + e.getKey());
+            }
+        }
+        List<Action> actions = new ArrayList<>();
+        for (int i = 0; i < number(file, v, "actions.count", 0, 0, 100); i++) {
+            String at = "actions." + i + ".";
+            String verb = v.getOrDefault(at + "verb", "");
+            if (!VERBS.contains(verb)) {
+                throw new Invalid(file + ": " + at + "verb: expected one of " + VERBS + ", found " + verb);
+            }
+            actions.add(new Action(number(file, v, at + "at_ms", 0, 0, 600_000), verb, v.getOrDefault(at + "who", "any"),
+                    number(file, v, at + "for_ms", 3_000, 0, 600_000)));
+        }
+        String onHalt = v.getOrDefault("on_halt", "resume");
+        if (!onHalt.matches("resume|back")) {
+            throw new Invalid(file + ": on_halt: expected resume or back, found " + onHalt);
+        }
+        return new Scenario(v.getOrDefault("name", file.getFileName().toString()), (int) number(file, v, "voters", 3, 1, 7),
+                (int) number(file, v, "brokers", 2, 0, 60), (int) number(file, v, "searchers", 12, 4, 100),
+                (int) number(file, v, "per_second", 40, 1, 2_000), policy, v.getOrDefault("release", "true").equals("true"),
+                v.getOrDefault("waves", "1,2,4"), number(file, v, "settle_ms", 1_000, 0, 600_000),
+                number(file, v, "step_ms", 30_000, 1_000, 600_000), onHalt, (int) number(file, v, "drop_pct", 0, 0, 90),
+                (int) number(file, v, "delay_pct", 0, 0, 90), (int) number(file, v, "double_pct", 0, 0, 90),
+                number(file, v, "faults_ms", 30_000, 0, 600_000), List.copyOf(actions));
+    }
+
+    private static long number(Path file, Map<String, String> v, String key, long otherwise, long least, long most) throws Invalid {
+        String text = v.getOrDefault(key, String.valueOf(otherwise));
+        if (!text.matches("[0-9]{1,9}") || Long.parseLong(text) < least || Long.parseLong(text) > most) {
+            throw new Invalid(file + ": " + key + ": expected a whole number from " + least + " to " + most + ", found " + text);
+        }
+        return Long.parseLong(text);
+    }
+}
--- a/src/main/java/reeldeal/config/StoreFile.java
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -13,16 +13,19 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import reeldeal.config.Config.Invalid;
+import reeldeal.fleet.members.Self;
+import reeldeal.muster.FleetConfig;
 import reeldeal.store.StoreConfig;
 import reeldeal.zones.ZonesConfig;
 
 /**
  * The replicated store and the zones kept in it, as a file under {@code deploy/} says; where there is none, both
- * are off. {@code zones} is null where only the store is wanted.
+ * are off. {@code zones} and {@code fleet} are null where they are not wanted.
  */
-public record StoreFile(StoreConfig store, ZonesConfig zones) {
+public record StoreFile(StoreConfig store, ZonesConfig zones, FleetConfig fleet) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FILE = "deploy/store.json";
+    private static final Set<String> FLEET_KNOWN = Set.of("zone", "program", "term_ms", "exit_wait_ms");
 
     /** The file's content, or null where there is none; REELDEAL_STORE names another file. */
     public static StoreFile read(Map<String, String> environment) throws Invalid {
@@ -78,7 +81,34 @@
                 joins.equals("true"), Path.of(text(values, "folder")), backup == null ? null : Path.of(backup),
                 Long.parseLong(every) * 1_000);
         return new StoreFile(store, values.keySet().stream().anyMatch(k -> k.startsWith("dns.")) ? ZonesFile.read(values)
-                : null);
+                : null, values.keySet().stream().anyMatch(k -> k.startsWith("fleet.")) ? fleet(values) : null);
+    }
+
+    /** The part {@code fleet}: this broker as a member of a fleet. */
+    private static FleetConfig fleet(Map<String, String> values) throws Invalid {
+        for (String key : values.keySet()) {
+            if (key.startsWith("fleet.") && !FLEET_KNOWN.contains(key.substring("fleet.".length()))) {
+                throw new Invalid("store " + key + ": no such setting; there are " + String.join(", ", new TreeSet<>(FLEET_KNOWN)));
+            }
+        }
+        Self.Times times = Self.Times.DEFAULT;
+        long term = ms(values, "fleet.term_ms", times.termMs(), 2_000);
+        return new FleetConfig(text(values, "fleet.zone"), values.getOrDefault("fleet.program", program()), new Self.Times(term,
+                Math.min(times.beatMs(), term / 5), ms(values, "fleet.exit_wait_ms", times.exitWaitMs(), 0), times.againMs()));
+    }
+
+    private static long ms(Map<String, String> values, String key, long otherwise, long least) throws Invalid {
+        String value = values.getOrDefault(key, String.valueOf(otherwise));
+        if (!value.matches("[0-9]{1,7}") || Long.parseLong(value) < least) {
+            throw new Invalid("store " + key + ": expected a whole number of ms from " + least + " on, found " + value);
+        }
+        return Long.parseLong(value);
+    }
+
+    /** The version in the jar's manifest. */
+    private static String program() {
+        String version = StoreFile.class.getPackage().getImplementationVersion();
+        return version == null ? "unknown" : version;
     }
 
     static String text(Map<String, String> values, String key) throws Invalid {
--- /dev/null
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -0,0 +1,120 @@
+package reeldeal.drill;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One broker as a process of the program: started, killed, paused, woken; what it logs goes into the history. */
+final class Broker {
+    final String name;
+    final int port;
+    final int storePort;
+    private final List<String> command;
+    private final Map<String, String> environment;
+    private final History history;
+    private Process process;
+    private volatile boolean serves;
+    private volatile boolean paused;
+
+    Broker(String name, int port, int storePort, List<String> program, Map<String, String> environment, History history) {
+        this.name = name;
+        this.port = port;
+        this.storePort = storePort;
+        this.environment = environment;
+        this.history = history;
+        command = new ArrayList<>(program);
+        command.add("serve");
+    }
+
+    /** How this JVM was started, as the beginning of a command: for processes of the same program. */
+    static List<String> program(Path jar) {
+        List<String> program = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms24m", "-Xmx96m",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData"));
+        program.addAll(jar != null ? List.of("-jar", jar.toString())
+                : List.of("-cp", System.getProperty("java.class.path"), "reeldeal.serve.Main"));
+        return program;
+    }
+
+    synchronized void start() throws IOException {
+        if (process != null && process.isAlive()) {
+            return;
+        }
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectInput(new File("/dev/null"));
+        builder.environment().keySet().removeIf(k -> k.startsWith("LB_") || k.startsWith("REELDEAL_"));
+        builder.environment().putAll(environment);
+        history.add(name, "start", "");
+        Process started = builder.start();
+        process = started;
+        serves = false;
+        paused = false;
+        StandIn.daemon(() -> {
+            try (BufferedReader lines = new BufferedReader(new InputStreamReader(started.getInputStream()))) {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    history.add(name, "log", line);
+                    if (line.startsWith("serving as ")) {
+                        serves = true;
+                    }
+                }
+            }
+            if (process == started) {
+                serves = false;
+            }
+            history.add(name, "exit", "status=" + started.waitFor());
+        });
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Whether it has said that it serves and was not ended since. */
+    boolean serves() {
+        return serves && alive() && !paused;
+    }
+
+    void kill() {
+        history.add(name, "kill", "");
+        serves = false;
+        process.destroyForcibly();
+    }
+
+    void terminate() {
+        history.add(name, "terminate", "");
+        process.destroy();
+    }
+
+    private void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).inheritIO().start().waitFor();
+    }
+
+    void pause() throws IOException, InterruptedException {
+        history.add(name, "pause", "");
+        paused = true;
+        signal("STOP");
+    }
+
+    void wake() throws IOException, InterruptedException {
+        if (alive()) {
+            signal("CONT");
+        }
+        paused = false;
+        history.add(name, "wake", "");
+    }
+
+    boolean paused() {
+        return paused;
+    }
+
+    /** Ends it, and waits until it has. */
+    void close() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -0,0 +1,416 @@
+package reeldeal.drill;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import reeldeal.config.Scenario;
+import reeldeal.fleet.ConfigVersion;
+import reeldeal.fleet.Words;
+import reeldeal.store.Client;
+import reeldeal.store.Store;
+
+/** Plays one scenario with one seed and leaves a folder with the history, the report and all that the nodes wrote. */
+public final class Drill implements AutoCloseable {
+    private static final String GROUP = "drill";
+    private static final int START_MS = 60_000;
+    private static final int END_MS = 240_000;
+    private static final int LOOK_MS = 200;
+    private static final int TERM_MS = 3_000;
+
+    /** How it ended: what was broken, and the figures. */
+    public record Result(List<String> broken, Map<String, String> figures, Path folder) { }
+
+    private final Scenario scenario;
+    private final SplittableRandom random;
+    private final Path folder;
+    private final History history;
+    private final Map<String, Broker> brokers = new LinkedHashMap<>();
+    private final Map<String, FrameProxy> proxies = new HashMap<>();
+    private final List<StandIn> searchers = new ArrayList<>();
+    private final Map<String, Long> restartAt = new HashMap<>();
+    private final Map<String, Long> healAt = new HashMap<>();
+    private final Set<String> voters = new HashSet<>();
+    private String oldVersion;
+    private String newText;
+    private String progress = "";
+    private Load load;
+
+    /** A fleet that has not been started; {@code jar} is null for processes of this JVM's own class path. */
+    public Drill(Scenario scenario, long seed, Path folder, Path jar) throws IOException {
+        this.scenario = scenario;
+        this.folder = folder;
+        random = new SplittableRandom(seed);
+        Files.createDirectories(folder);
+        history = new History(folder.resolve("history.txt"));
+        history.add("drill", "scenario", scenario.name() + " seed=" + seed);
+        StringBuilder zone = new StringBuilder("$TTL 60\n@ SOA ns ops 1 3600 1 86400 30\n@ NS ns\n");
+        for (int i = 1; i <= scenario.searchers(); i++) {
+            String name = "s" + i;
+            searchers.add(new StandIn(3 + random.nextInt(5), part -> history.add(name, "part", part)));
+            zone.append("_searcher._tcp SRV 0 0 ").append(searchers.get(i - 1).port()).append(' ').append(name).append('\n').append(name)
+                    .append(" A 127.0.0.1\n").append(name).append(" TXT cell=").append(i % 4).append(" zone=").append(i % 2 == 0 ? "a" : "b")
+                    .append(" kind=std\n");
+        }
+        Files.writeString(folder.resolve("zone"), zone);
+        try (InputStream in = Drill.class.getResourceAsStream("broker.json")) {
+            String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            Files.writeString(folder.resolve("broker.json"), text);
+            oldVersion = ConfigVersion.of(text);
+            newText = text.replace("\"MostHeld\": 400", "\"MostHeld\": 390");
+        }
+        nodes(jar);
+    }
+
+    private void nodes(Path jar) throws IOException {
+        List<String> names = IntStream.range(0, scenario.voters() + scenario.brokers()).mapToObj(i -> "b" + i).toList();
+        voters.addAll(names.subList(0, scenario.voters()));
+        List<Integer> free = ports(3 * names.size());
+        for (String from : names) {
+            for (String to : names) {
+                if (!from.equals(to) && (voters.contains(from) || voters.contains(to))) {
+                    proxies.put(from + ">" + to, new FrameProxy(free.get(names.indexOf(to)), random.nextLong()));
+                }
+            }
+        }
+        for (int i = 0; i < names.size(); i++) {
+            String name = names.get(i);
+            StringBuilder nodes = new StringBuilder("\"" + name + "\":\"127.0.0.1:" + free.get(i) + "\"");
+            names.stream().filter(n -> proxies.containsKey(name + ">" + n)).forEach(n ->
+                    nodes.append(",\"").append(n).append("\":\"127.0.0.1:").append(proxies.get(name + ">" + n).port()).append('"'));
+            Path file = Files.writeString(folder.resolve(name + ".json"), "{\"group\":\"" + GROUP + "\",\"node\":\"" + name + "\",\"folder\":\""
+                    + folder.resolve(name) + "\",\"voters\":\"" + String.join(",", names.subList(0, scenario.voters())) + "\",\"nodes\":{" + nodes
+                    + "},\"dns\":{\"listen\":\"127.0.0.1:" + free.get(2 * names.size() + i) + "\",\"origin\":\"drill.test\",\"zone_file\":\""
+                    + folder.resolve("zone") + "\",\"members\":{\"flap_limit\":100000}},\"fleet\":{\"zone\":\"" + (i % 2 == 0 ? "a" : "b")
+                    + "\",\"term_ms\":" + TERM_MS + ",\"exit_wait_ms\":3000}}");
+            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i), Broker.program(jar), Map.of("LB_CONFIG",
+                    folder.resolve("broker.json").toString(), "LB_NAME", name, "LB_LISTEN", "127.0.0.1:" + free.get(names.size() + i),
+                    "REELDEAL_STORE", file.toString()), history));
+        }
+    }
+
+    private static List<Integer> ports(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        // Below the ports that connections are given by themselves, or a restarted broker may find its own taken.
+        for (int port = 10_000 + (int) (ProcessHandle.current().pid() * 37 % 15_000); ports.size() < count; port++) {
+            try {
+                held.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+                ports.add(port);
+            } catch (IOException taken) {
+                continue;
+            }
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+        return ports;
+    }
+
+    // ---- asking ----
+
+    /** Asks whichever node answers, voters first; null where none does. */
+    private Store.Answer ask(String question) {
+        List<Broker> up = new ArrayList<>(brokers.values().stream().filter(b -> b.alive() && !b.paused()).toList());
+        up.sort(java.util.Comparator.comparing(b -> !voters.contains(b.name)));
+        for (Broker b : up) {
+            try {
+                return Client.ask(new InetSocketAddress(InetAddress.getLoopbackAddress(), b.storePort), GROUP, question, 7_000);
+            } catch (IOException e) {
+                continue; // it has just ended, or is not up yet: the next
+            }
+        }
+        return null;
+    }
+
+    private boolean order(String question) {
+        Store.Answer answer = ask(question);
+        history.add("operator", "order", question.length() > 200 ? question.substring(0, 60) + "..." : question);
+        history.add("operator", "told", answer == null ? "nobody answers" : answer.ok() + " " + answer.text());
+        return answer != null && answer.ok();
+    }
+
+    /** An order without which there is no drill. */
+    private void must(String question) {
+        for (int tries = 0; tries < 5; tries++) {
+            if (order(question)) {
+                return;
+            }
+        }
+        throw new IllegalStateException("not done: " + question.substring(0, Math.min(60, question.length())));
+    }
+
+    private List<Words> lines(String question) {
+        Store.Answer answer = ask(question);
+        return answer == null || !answer.ok() ? List.of() : Arrays.stream(answer.text().split("\n")).filter(l -> !l.isBlank()).map(Words::of).toList();
+    }
+
+    private String leader() {
+        Store.Answer answer = ask("store nodes");
+        return answer == null ? "" : Arrays.stream(answer.text().split("\n")).filter(l -> l.endsWith(" leads")).map(l -> l.split(" ")[0])
+                .findFirst().orElse("");
+    }
+
+    // ---- the play ----
+
+    /** Plays it to its end. */
+    public Result play() throws Exception {
+        for (Broker b : brokers.values()) {
+            b.start();
+        }
+        until(START_MS, "the fleet serves", () -> lines("fleet members").stream().filter(m -> m.get("state").equals("serving")).count()
+                == brokers.size());
+        Words policy = new Words().with("brokers_out", "1").with("apart_ms", "200");
+        scenario.policy().forEach(policy::with);
+        order("fleet policy " + policy);
+        history.add("operator", "policy", String.valueOf(reeldeal.fleet.permits.Policy.of(policy.get("brokers_out"), brokers.size())));
+        load = new Load(List.copyOf(brokers.values()), 12, scenario.perSecond(), 8, history);
+        Thread.sleep(2_000);
+        if (scenario.release()) {
+            must("fleet config " + new Words().with("version", ConfigVersion.of(newText)).with("text", newText));
+            must("fleet release plan " + new Words().with("what", "config").with("to", ConfigVersion.of(newText)).with("waves", scenario.waves())
+                    .with("settle_ms", scenario.settleMs()).with("step_ms", scenario.stepMs()));
+            must("fleet release start");
+        }
+        run();
+        finish();
+        history.close();
+        List<History.Event> events = History.read(folder.resolve("history.txt"));
+        Check.Verdict verdict = Check.of(events);
+        Report.write(folder, "Drill " + scenario.name(), events, verdict);
+        return new Result(verdict.broken(), verdict.figures(), folder);
+    }
+
+    private interface Holds {
+        boolean now() throws Exception;
+    }
+
+    private void until(long ms, String what, Holds holds) throws Exception {
+        long until = history.now() + ms;
+        while (!holds.now()) {
+            if (history.now() > until) {
+                history.add("drill", "broken", "waited " + ms + " ms in vain: " + what);
+                return;
+            }
+            supervise();
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    private void run() throws Exception {
+        long began = history.now();
+        List<Scenario.Action> left = new ArrayList<>(scenario.actions());
+        faults(scenario.dropPct(), scenario.delayPct(), scenario.doublePct());
+        while (!left.isEmpty() || history.now() - began < scenario.faultsMs() && !(scenario.release() && progress.contains("progress=done"))) {
+            for (Scenario.Action a : List.copyOf(left)) {
+                if (history.now() - began >= a.atMs()) {
+                    left.remove(a);
+                    act(a);
+                }
+            }
+            supervise();
+            look();
+            Thread.sleep(LOOK_MS / 2);
+        }
+        faults(0, 0, 0);
+        until(START_MS, "all that was paused or cut is well again", () -> {
+            look();
+            return healAt.isEmpty() && restartAt.isEmpty();
+        });
+        if (!scenario.release()) {
+            return;
+        }
+        boolean[] back = {false};
+        long[] orderedAt = {0};
+        until(END_MS, "the release ends", () -> {
+            look();
+            boolean stands = progress.contains("progress=halted") || progress.contains("progress=paused");
+            if (stands && history.now() - orderedAt[0] > 5_000) {
+                orderedAt[0] = history.now();
+                boolean goBack = scenario.onHalt().equals("back") && !back[0] && !progress.contains("way=back");
+                back[0] |= order(goBack ? "fleet release back" : "fleet release resume") && goBack;
+            }
+            return progress.contains("progress=done");
+        });
+    }
+
+    private void faults(int drop, int delay, int twice) {
+        for (FrameProxy p : proxies.values()) {
+            p.dropPct = drop;
+            p.delayPct = delay;
+            p.doublePct = twice;
+        }
+    }
+
+    /** What has ended is started again after a while, as a service manager would. */
+    private void supervise() throws Exception {
+        for (Broker b : brokers.values()) {
+            if (!b.alive()) {
+                Long at = restartAt.get(b.name);
+                if (at == null) {
+                    restartAt.put(b.name, history.now() + 300 + random.nextInt(700));
+                } else if (history.now() >= at) {
+                    restartAt.remove(b.name);
+                    b.start();
+                }
+            } else {
+                restartAt.remove(b.name);
+            }
+        }
+        for (Map.Entry<String, Long> e : Map.copyOf(healAt).entrySet()) {
+            if (history.now() >= e.getValue()) {
+                healAt.remove(e.getKey());
+                Broker b = brokers.get(e.getKey());
+                if (b.paused()) {
+                    b.wake();
+                }
+                cut(b.name, false, false);
+                history.add(b.name, "heal", "");
+            }
+        }
+    }
+
+    private void look() {
+        List<Words> lines = lines("fleet release show");
+        if (!lines.isEmpty()) {
+            Words head = lines.get(0);
+            String now = "progress=" + head.get("progress") + " way=" + head.get("way") + " reason=" + head.get("reason").replace(' ', '_');
+            if (!now.equals(progress)) {
+                progress = now;
+                history.add("operator", "progress", now);
+            }
+        }
+    }
+
+    private void cut(String node, boolean now, boolean inwardsOnly) {
+        proxies.forEach((way, proxy) -> {
+            if (way.endsWith(">" + node) || !inwardsOnly && way.startsWith(node + ">")) {
+                proxy.cut(now);
+            }
+        });
+    }
+
+    private List<Broker> who(String who) {
+        if (brokers.containsKey(who)) {
+            return List.of(brokers.get(who));
+        }
+        List<Broker> up = brokers.values().stream().filter(b -> b.alive() && !b.paused()).toList();
+        List<Broker> of = switch (who) {
+            case "leader" -> up.stream().filter(b -> b.name.equals(leader())).toList();
+            case "voter" -> up.stream().filter(b -> voters.contains(b.name)).toList();
+            case "broker", "third" -> up.stream().filter(b -> !voters.contains(b.name)).toList();
+            case "leaving" -> {
+                Set<String> leaving = new HashSet<>();
+                lines("fleet release show").stream().filter(w -> w.get("stage").matches("drain|restart")).forEach(w -> leaving.add(w.get("name")));
+                yield up.stream().filter(b -> leaving.contains(b.name)).toList();
+            }
+            default -> up;
+        };
+        if (of.isEmpty()) {
+            return List.of();
+        }
+        if (who.equals("third")) {
+            List<Broker> mixed = new ArrayList<>(of);
+            java.util.Collections.shuffle(mixed, new java.util.Random(random.nextLong()));
+            return mixed.subList(0, Math.max(1, brokers.size() / 3));
+        }
+        return List.of(of.get(random.nextInt(of.size())));
+    }
+
+    private void act(Scenario.Action a) throws Exception {
+        if (a.verb().equals("order")) {
+            boolean done = order(a.who());
+            Words words = Words.of(a.who());
+            if (done && a.who().startsWith("fleet drain") || done && a.who().startsWith("fleet undrain")) {
+                history.add(words.get("name").split("\\.")[0], a.who().startsWith("fleet drain") ? "drained" : "undrained", "");
+            }
+            return;
+        }
+        for (Broker b : who(a.who())) {
+            switch (a.verb()) {
+                case "kill" -> {
+                    b.kill();
+                    restartAt.put(b.name, history.now() + a.forMs());
+                }
+                case "terminate" -> b.terminate();
+                case "pause" -> {
+                    b.pause();
+                    healAt.put(b.name, history.now() + a.forMs());
+                }
+                default -> {
+                    history.add(b.name, a.verb(), "");
+                    cut(b.name, true, a.verb().equals("deafen"));
+                    healAt.put(b.name, history.now() + a.forMs());
+                }
+            }
+        }
+    }
+
+    private void finish() throws Exception {
+        List<Words> members = new ArrayList<>();
+        until(START_MS, "all serve at the end", () -> {
+            members.clear();
+            members.addAll(lines("fleet members"));
+            return members.size() == brokers.size() && members.stream().allMatch(m -> m.get("state").equals("serving"))
+                    && lines("fleet permits").stream().noneMatch(p -> p.get("kind").equals("broker"));
+        });
+        for (Words m : members) {
+            String config = m.get("config");
+            history.add(m.get("name"), "final", "state=" + m.get("state") + " is=" + (config.equals(oldVersion) ? "old"
+                    : config.equals(ConfigVersion.of(newText)) ? "new" : config));
+        }
+        load.close();
+        long[] frames = new long[4];
+        proxies.values().forEach(p -> {
+            frames[0] += p.passed.get();
+            frames[1] += p.dropped.get();
+            frames[2] += p.delayed.get();
+            frames[3] += p.doubled.get();
+        });
+        history.add("drill", "frames", frames[0] + " passed, " + frames[1] + " dropped, " + frames[2] + " delayed, " + frames[3] + " doubled");
+        for (Broker b : brokers.values()) {
+            b.close();
+        }
+        Path longest = null;
+        long most = -1;
+        for (String v : voters) {
+            List<String> commits = LogReader.commits(folder.resolve(v), GROUP + " " + v, v);
+            if (commits.size() > most) {
+                most = commits.size();
+                longest = folder.resolve(v);
+            }
+        }
+        if (longest != null) {
+            String v = longest.getFileName().toString();
+            LogReader.commits(longest, GROUP + " " + v, v).forEach(c -> history.add("log", "commit", c));
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Broker b : brokers.values()) {
+            b.close();
+        }
+        for (FrameProxy p : proxies.values()) {
+            p.close();
+        }
+        for (StandIn s : searchers) {
+            s.close();
+        }
+        history.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/drill/History.java
@@ -0,0 +1,54 @@
+package reeldeal.drill;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What happened, a line an event: ms since the drill began, who, what, and the rest. Kept as a file. */
+final class History implements AutoCloseable {
+    /** One event. */
+    record Event(long at, String who, String what, String rest) { }
+
+    private final long began = System.nanoTime();
+    private final PrintWriter out;
+
+    History(Path file) throws IOException {
+        out = new PrintWriter(Files.newBufferedWriter(file));
+    }
+
+    /** Ms since the drill began. */
+    long now() {
+        return (System.nanoTime() - began) / 1_000_000;
+    }
+
+    /** Adds an event as happening now. */
+    synchronized void add(String who, String what, String rest) {
+        out.println(now() + " " + who + " " + what + " " + rest.replace('\n', ' '));
+        if (!what.equals("part")) {
+            out.flush();
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        out.close();
+    }
+
+    /** Reads a history back. */
+    static List<Event> read(Path file) {
+        List<Event> events = new ArrayList<>();
+        try {
+            for (String line : Files.readAllLines(file)) {
+                String[] words = line.split(" ", 4);
+                events.add(new Event(Long.parseLong(words[0]), words[1], words[2], words.length > 3 ? words[3] : ""));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/drill/Load.java
@@ -0,0 +1,153 @@
+package reeldeal.drill;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Clients at a steady rate. Like clients behind a balancer they ask only brokers whose health check was good a moment
+ * ago, and each query once, so that a query without an answer shows.
+ */
+final class Load {
+    private static final int TIMEOUT_MS = 9_000;
+    private static final int HEALTH_MS = 200;
+
+    private final List<Broker> brokers;
+    private final int shards;
+    private final History history;
+    private final Map<String, Boolean> healthy = new java.util.concurrent.ConcurrentHashMap<>();
+    private final AtomicInteger next = new AtomicInteger();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean stop;
+
+    Load(List<Broker> brokers, int shards, int perSecond, int clients, History history) {
+        this.brokers = brokers;
+        this.shards = shards;
+        this.history = history;
+        thread(this::health);
+        for (int i = 0; i < clients; i++) {
+            String client = "c" + i;
+            thread(() -> ask(client, 1_000L * clients / perSecond));
+        }
+    }
+
+    private void thread(StandIn.Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                history.add("load", "error", String.valueOf(e));
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        threads.add(thread);
+    }
+
+    private void health() throws InterruptedException {
+        while (!stop) {
+            for (Broker b : brokers) {
+                healthy.put(b.name, b.serves() && good(b));
+            }
+            Thread.sleep(HEALTH_MS);
+        }
+    }
+
+    private static boolean good(Broker b) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), b.port), 200);
+            socket.setSoTimeout(200);
+            socket.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+            return Wire.http(socket.getInputStream()).startsWith("200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void ask(String client, long everyMs) throws InterruptedException {
+        Map<String, Socket> open = new HashMap<>();
+        while (!stop) {
+            long began = System.nanoTime();
+            int n = next.incrementAndGet();
+            List<Broker> up = brokers.stream().filter(b -> healthy.getOrDefault(b.name, false)).toList();
+            if (!up.isEmpty()) {
+                one(client, n, up.get(n % up.size()), open);
+            }
+            Thread.sleep(Math.max(1, everyMs - (System.nanoTime() - began) / 1_000_000));
+        }
+        for (Socket s : open.values()) {
+            try {
+                s.close();
+            } catch (IOException e) {
+                continue; // it has ended by itself
+            }
+        }
+    }
+
+    private void one(String client, int n, Broker to, Map<String, Socket> open) {
+        String id = client + "-" + n;
+        int shard = n % shards;
+        byte[] request = Wire.request("POST", "/notice-search", "X-Correlation-Id: " + id + "\r\nX-Time-Left-Ms: 2000\r\n",
+                "{\"shards\":[{\"shard\":" + shard + ",\"weight\":0.5},{\"shard\":" + (shard + 1) % shards + ",\"weight\":0.5}],\"q\":\"x\"}");
+        Socket socket = open.remove(to.name);
+        try {
+            if (socket == null || socket.getInputStream().available() > 0 || ended(socket)) {
+                socket = new Socket();
+                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), to.port), 1_000);
+                socket.setSoTimeout(TIMEOUT_MS);
+            }
+        } catch (IOException e) {
+            return; // nobody took it: nothing was asked
+        }
+        history.add(client, "ask", "id=" + id + " to=" + to.name);
+        try {
+            InputStream in = socket.getInputStream();
+            socket.getOutputStream().write(request);
+            String answer = Wire.http(in);
+            if (answer.equals("EOF")) {
+                throw new IOException("ended");
+            }
+            history.add(client, "answer", "id=" + id + " to=" + to.name + " status=" + answer.split(" ")[0] + " whole="
+                    + answer.contains("\"complete\":true") + (answer.startsWith("200") ? "" : " body=" + answer.replace(' ', '_')));
+            open.put(to.name, socket);
+        } catch (IOException e) {
+            history.add(client, "noanswer", "id=" + id + " to=" + to.name + " why=" + e.getMessage());
+            try {
+                socket.close();
+            } catch (IOException already) {
+                return;
+            }
+        }
+    }
+
+    /** Whether the other side has closed an idle connection: a query on it would be lost by this client, not by a broker. */
+    private static boolean ended(Socket socket) {
+        try {
+            socket.setSoTimeout(1);
+            return socket.getInputStream().read() < 0;
+        } catch (java.net.SocketTimeoutException e) {
+            try {
+                socket.setSoTimeout(TIMEOUT_MS);
+                return false;
+            } catch (IOException gone) {
+                return true;
+            }
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    void close() throws InterruptedException {
+        stop = true;
+        for (Thread t : threads) {
+            t.join();
+        }
+    }
+}
--- a/src/test/java/reeldeal/serve/Wire.java
+++ b/src/main/java/reeldeal/drill/Wire.java
@@ -1,4 +1,4 @@
-package reeldeal.serve;
+package reeldeal.drill;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -9,11 +9,11 @@
 import java.util.HexFormat;
 
 /** What stand-ins read and write, as text: an HTTP message as its first words and its body, or a frame. */
-final class Wire {
+public final class Wire {
     private Wire() { }
 
     /** An HTTP head, or null at the end of the stream. */
-    static String head(InputStream in) throws IOException {
+    public static String head(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int b = in.read();
@@ -26,7 +26,7 @@
     }
 
     /** A response as {@code STATUS [retry-after=T] BODY}, or a request as {@code METHOD TARGET BODY}. */
-    static String http(InputStream in) throws IOException {
+    public static String http(InputStream in) throws IOException {
         String head = head(in);
         if (head == null) {
             return "EOF";
@@ -46,19 +46,21 @@
         return (words[0].startsWith("HTTP") ? words[1] : words[0] + " " + words[1]) + retry + " " + body;
     }
 
-    static byte[] request(String method, String target, String headers, String body) {
+    /** A request with a body. */
+    public static byte[] request(String method, String target, String headers, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         return (method + " " + target + " HTTP/1.1\r\nHost: api.internal\r\n" + headers + "Content-Length: "
                 + bytes.length + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
     }
 
-    static byte[] response(int status, String body) {
+    /** A response with a body. */
+    public static byte[] response(int status, String body) {
         return ("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length
                 + "\r\n\r\n" + body).getBytes(StandardCharsets.UTF_8);
     }
 
     /** A frame as its letter, a space and the rest. */
-    static String frame(InputStream in) throws IOException {
+    public static String frame(InputStream in) throws IOException {
         int first = in.read();
         if (first < 0) {
             return "EOF";
@@ -69,26 +71,27 @@
         return (char) frame[0] + " " + new String(frame, 1, length - 1, StandardCharsets.UTF_8);
     }
 
-    static byte[] frame(String text) {
+    /** A frame from its letter, a space and the rest. */
+    public static byte[] frame(String text) {
         byte[] rest = text.substring(2).getBytes(StandardCharsets.UTF_8);
         return ByteBuffer.allocate(5 + rest.length).putInt(1 + rest.length).put((byte) text.charAt(0)).put(rest)
                 .array();
     }
 
     /** A message with two bytes of length, as hexadecimal. */
-    static String hex(InputStream in) throws IOException {
+    public static String hex(InputStream in) throws IOException {
         DataInputStream data = new DataInputStream(in);
         return HexFormat.of().formatHex(data.readNBytes(data.readUnsignedShort()));
     }
 
     /** Such a message from hexadecimal in which quotes hold text. */
-    static byte[] hex(String text) {
+    public static byte[] hex(String text) {
         byte[] all = bytes(text);
         return ByteBuffer.allocate(2 + all.length).putShort((short) all.length).put(all).array();
     }
 
     /** Bytes from hexadecimal in which quotes hold text. */
-    static byte[] bytes(String text) {
+    public static byte[] bytes(String text) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String[] pieces = text.split("\"", -1);
         for (int i = 0; i < pieces.length; i++) {
--- a/src/main/java/reeldeal/fleet/members/Self.java
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -164,7 +164,7 @@
 
     /** Time has gone on. */
     public void tick(long now) {
-        if (fleet == null || exited || superseded) {
+        if (fleet == null || superseded) {
             return;
         }
         Member listed = fleet.members().get(who.name());
@@ -180,6 +180,9 @@
             beatAt = now + times.beatMs();
             acts.add(new Beat(me.incarnation(), now, seen));
         }
+        if (exited) {
+            return; // it goes on being heard until it is gone
+        }
         obey(now, me);
         if (writing || now < writeAgainAt || !current) {
             unplannedExit(now, me);
--- a/src/main/java/reeldeal/membership/MemberFeed.java
+++ b/src/main/java/reeldeal/membership/MemberFeed.java
@@ -109,9 +109,9 @@
         pass();
     }
 
-    /** The operator's words. */
-    public void words(Map<String, Membership.Word> words) {
-        membership.words(now.getAsLong(), words);
+    /** The operator's words, and the names that the fleet has drained. */
+    public void words(Map<String, Membership.Word> words, Set<String> drained) {
+        membership.words(now.getAsLong(), words, drained);
         pass();
     }
 
--- a/src/main/java/reeldeal/membership/Membership.java
+++ b/src/main/java/reeldeal/membership/Membership.java
@@ -39,6 +39,8 @@
  * </ol>
  */
 public final class Membership {
+    /** How the reason of an entry begins that is draining only because the fleet agreed so. */
+    public static final String FLEETS_WORD = "the fleet's word";
     private static final int MAX_LEFT = 10_000;
 
     /**
@@ -110,6 +112,7 @@
     private final Map<String, Source> sources = new LinkedHashMap<>();
     private final Map<String, Member> members = new TreeMap<>();
     private final Map<String, Word> words = new HashMap<>();
+    private Set<String> fleets = Set.of();
     private final Map<String, Searcher> changes = new LinkedHashMap<>();
     private final List<String> log = new ArrayList<>();
     private long due = Long.MAX_VALUE;
@@ -177,9 +180,15 @@
 
     /** The operator's words, all of them. */
     public void words(long now, Map<String, Word> fresh) {
-        if (!words.equals(fresh)) {
+        words(now, fresh, fleets);
+    }
+
+    /** The operator's words, and the names that the fleet has agreed to drain: that goes before any word. */
+    public void words(long now, Map<String, Word> fresh, Set<String> drained) {
+        if (!words.equals(fresh) || !fleets.equals(drained)) {
             words.clear();
             words.putAll(fresh);
+            fleets = Set.copyOf(drained);
             fold(now);
         }
     }
@@ -404,12 +413,14 @@
             m.sound = first.claim();
             m.soundRank = first.source().rank;
         }
-        boolean ready = word == Word.READY || word == null && drains == null;
-        String reason = (word != null ? "the operator's word" : drains != null
+        boolean would = word == Word.READY || word == null && drains == null;
+        boolean fleet = would && fleets.contains(name);
+        boolean ready = would && !fleet;
+        String reason = (fleet ? FLEETS_WORD : word != null ? "the operator's word" : drains != null
                 ? "status draining in " + drains.source().name : "listed") + first.note();
         boolean wasReady = m.told != null && m.told.listed() == Listed.READY;
         boolean moved = m.told != null && !m.told.address().equals(first.address());
-        if (wasReady && !ready) {
+        if (wasReady && !ready && !fleet) {
             left(now, m, (drains == null ? first : drains).source().rank);
         }
         m.damped = ready && damped(now, m, wasReady);
@@ -418,13 +429,13 @@
                     + first.note();
         }
         double started = first.claim().startedMs();
-        if (ready && !m.damped && (moved || m.vanished)) {
-            // Rule 2: a new process, whatever it is called.
+        if (would && !m.damped && (moved || m.vanished)) {
+            // Rule 2: a new process, whatever it is called; the fleet must see one that it drained come back as such.
             started = Math.max(started, now);
         } else if (m.told != null && started <= m.told.startedMs()) {
             started = m.told.startedMs();
         }
-        if (ready && !m.damped) {
+        if (would && !m.damped) {
             m.leftAt = -1;
             m.leftRank = Integer.MAX_VALUE;
             m.vanished = false;
--- /dev/null
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -0,0 +1,328 @@
+package reeldeal.muster;
+
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import reeldeal.fleet.Coordinator;
+import reeldeal.fleet.Desk;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.Write;
+import reeldeal.fleet.members.Leases;
+import reeldeal.fleet.members.Self;
+import reeldeal.fleet.permits.Permits;
+import reeldeal.fleet.permits.Seen;
+import reeldeal.fleet.release.Health;
+import reeldeal.fleet.release.Releases;
+import reeldeal.store.Change;
+import reeldeal.store.State;
+import reeldeal.store.Store;
+
+/** One node's part in the fleet: its own membership, and the fleet's matters while it leads. Runs on the state loop. */
+public final class Muster {
+    private static final int TICK_MS = 100;
+    private static final int ANSWER_MS = 50;
+    private static final int GONE_MS = 1_500;
+    private static final int SEEN_MS = 2_000;
+    private static final int TRIES = 5;
+
+    /** The broker that is a member; called on the state loop. */
+    public interface Host {
+        /** Take no more clients. */
+        void drain();
+
+        /** Take clients again. */
+        void serve();
+
+        /** End the process in order; this returns at once. */
+        void exit(String why);
+
+        /** What was counted so far. */
+        Health.Counts counts();
+
+        /** The list of searchers as it is here, no drain of the fleet's counted; null where there is none. */
+        Map<String, Seen> searchers();
+
+        /** Where shards lie. */
+        Permits.Shards shards();
+
+        /** The searchers that the fleet has drained, all of them. */
+        void drained(Set<String> searchers);
+    }
+
+    private final EventLoop loop;
+    private final Store store;
+    private final Host host;
+    private final Consumer<String> log;
+    private final Permits permits = new Permits();
+    private final Desk desk = new Desk(permits);
+    private final Self self;
+    private final Coordinator coordinator;
+    private final List<Runnable> unanswered = new ArrayList<>();
+    private final CountDownLatch exit = new CountDownLatch(1);
+    private Fleet fleet = new Fleet(Map.of());
+    private boolean viewPlanned;
+    private boolean answersPlanned;
+    private long leaderSeenAt = nowMs();
+    private Set<String> drained = new HashSet<>();
+    private long seenOf = -1;
+
+    /** For a store that has not begun yet; {@code config} names the configuration that the broker runs with. */
+    public Muster(EventLoop loop, Store store, FleetConfig config, String configVersion, Host host, Consumer<String> log) {
+        this.loop = loop;
+        this.store = store;
+        this.host = host;
+        this.log = log;
+        self = new Self(new Self.Who(store.node(), store.session(), store.session(), config.zone(), config.program(), configVersion),
+                config.times(), permits);
+        coordinator = new Coordinator(permits, new Releases(permits), new Leases(config.times().termMs()));
+    }
+
+    /** Takes part from now on; on the loop. */
+    public void start() {
+        store.onChange(changes -> {
+            if (changes.stream().anyMatch(c -> c.key().startsWith(Fleet.ROOT))) {
+                viewSoon();
+            }
+        });
+        store.onTold(this::told);
+        store.onAsk("fleet", this::asked);
+        store.whenWriting(() -> {
+            view();
+            coordinator.begin(nowMs(), nowMs() - leaderSeenAt);
+        });
+        view();
+        loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    // ---- the log ----
+
+    private void viewSoon() {
+        if (!viewPlanned) {
+            viewPlanned = true;
+            loop.execute(() -> {
+                viewPlanned = false;
+                view();
+            });
+        }
+    }
+
+    private void view() {
+        Map<String, Fleet.Value> values = new TreeMap<>();
+        store.under(Fleet.ROOT).forEach((k, v) -> values.put(k, new Fleet.Value(v.text(), v.version())));
+        fleet = new Fleet(values);
+        Set<String> drains = new HashSet<>(fleet.drainedSearchers());
+        if (!drains.equals(drained)) {
+            drained = drains;
+            host.drained(drains); // before anybody is told that this node has seen them
+        }
+        seenOf = store.version();
+        coordinator.view(nowMs(), fleet);
+        self.view(nowMs(), fleet, seenOf, store.isCurrent());
+        perform();
+    }
+
+    private void tick() {
+        long now = nowMs();
+        if (store.leader() != null) {
+            leaderSeenAt = now;
+        }
+        if (coordinator.leads() && !store.isWriter()) {
+            coordinator.end();
+        }
+        if (store.version() != seenOf || store.isCurrent()) {
+            seenOf = store.version();
+            self.view(now, fleet, seenOf, store.isCurrent());
+        } else {
+            self.tick(now);
+        }
+        perform();
+        coordinate(now);
+    }
+
+    private void coordinate(long now) {
+        if (!coordinator.leads()) {
+            return;
+        }
+        coordinator.searchers(host.searchers(), host.shards());
+        Write write = coordinator.next(now);
+        if (write != null) {
+            store.write(new State.Command("", 0, expects(write), changes(write)), result -> {
+                if (result instanceof Store.Committed) {
+                    log.accept("fleet: " + write.why());
+                }
+                loop.execute(() -> { // once the change has been told
+                    coordinator.ended();
+                    coordinate(nowMs());
+                });
+            });
+        }
+    }
+
+    private static List<State.Expect> expects(Write write) {
+        return write.needs().entrySet().stream().map(e -> new State.Expect(e.getKey(), e.getValue())).toList();
+    }
+
+    private static List<Change> changes(Write write) {
+        return write.puts().entrySet().stream().map(e -> new Change(e.getKey(), e.getValue())).toList();
+    }
+
+    // ---- this member ----
+
+    private void perform() {
+        for (Self.Act act : self.take()) {
+            if (act instanceof Self.Put put) {
+                store.submit(expects(put.write()), changes(put.write()), result -> loop.execute(() -> {
+                    self.ended(nowMs(), !(result instanceof Store.Unknown));
+                    perform();
+                }));
+            } else if (act instanceof Self.Beat beat) {
+                beat(beat);
+            } else if (act instanceof Self.Drain) {
+                log.accept("fleet: drains");
+                host.drain();
+            } else if (act instanceof Self.Serve) {
+                log.accept("fleet: serves again");
+                host.serve();
+            } else if (act instanceof Self.Exit leave) {
+                log.accept("fleet: ends: " + leave.why());
+                exit.countDown();
+                host.exit(leave.why());
+            } else if (act instanceof Self.Say say) {
+                log.accept("fleet: " + say.line());
+            }
+        }
+    }
+
+    private void beat(Self.Beat beat) {
+        String leader = store.leader();
+        if (leader != null) {
+            Health.Counts c = host.counts();
+            store.tell(leader, new Words().with("beat", beat.incarnation()).with("sent", beat.sentAt()).with("seen", beat.seen())
+                    .with("asked", c.asked()).with("late", c.late()).with("refused", c.refused()).with("attempts", c.attempts())
+                    .with("failed", c.failed()).toString().getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private void told(String from, byte[] bytes) {
+        Words words = Words.of(new String(bytes, StandardCharsets.UTF_8));
+        if (!words.get("beat").isEmpty()) {
+            long incarnation = words.number("beat", 0);
+            if (coordinator.beat(nowMs(), from, incarnation, words.number("seen", 0), new Health.Counts(words.number("asked", 0),
+                    words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)))) {
+                byte[] answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0)).toString()
+                        .getBytes(StandardCharsets.UTF_8);
+                unanswered.add(() -> store.tell(from, answer));
+                answerSoon();
+            }
+        } else if (!words.get("held").isEmpty()) {
+            self.answered(nowMs(), words.number("held", 0), words.number("sent", 0));
+            perform();
+        }
+    }
+
+    /** Beats that came together are answered by one confirmation, asked for after they came. */
+    private void answerSoon() {
+        if (!answersPlanned) {
+            answersPlanned = true;
+            loop.schedule(() -> {
+                answersPlanned = false;
+                List<Runnable> answers = List.copyOf(unanswered);
+                unanswered.clear();
+                store.confirm(() -> answers.forEach(Runnable::run));
+            }, ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether this member's lease surely stands. */
+    public boolean holds() {
+        return self.holds(nowMs());
+    }
+
+    /** The broker takes clients; from any thread. */
+    public void ready() {
+        loop.execute(() -> {
+            self.ready(nowMs());
+            perform();
+        });
+    }
+
+    /** The process was told to end: waits for a permit, a told time at the most. Not on the loop. */
+    public void terminate() throws InterruptedException {
+        loop.execute(() -> {
+            self.terminate(nowMs());
+            perform();
+        });
+        exit.await();
+    }
+
+    /** The process has drained and ends; not on the loop. */
+    public void gone() throws InterruptedException {
+        CountDownLatch told = new CountDownLatch(1);
+        loop.execute(() -> {
+            Write write = self.gone();
+            if (write == null) {
+                told.countDown();
+            } else {
+                store.submit(expects(write), changes(write), result -> told.countDown());
+            }
+        });
+        told.await(GONE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- operators ----
+
+    private void asked(String text, Store.Reply reply) {
+        answer(text.substring("fleet".length()).trim(), reply, TRIES);
+    }
+
+    /** Runs this once this node has told a version, so that whoever asks here next finds it. */
+    private void seen(long version, long until, Runnable then) {
+        if (store.version() >= version || nowMs() >= until) {
+            then.run();
+        } else {
+            loop.schedule(() -> seen(version, until, then), ANSWER_MS / 5, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answer(String question, Store.Reply reply, int tries) {
+        if (question.equals("self")) {
+            reply.tell(self.describe(nowMs()) + " version=" + store.version() + (store.isCurrent() ? "" : " old"));
+            return;
+        }
+        view(); // what this node has told by now, its own writes among it
+        coordinator.searchers(host.searchers(), host.shards());
+        long now = nowMs();
+        Desk.Ruling ruling = desk.ask(question, fleet, coordinator.facts(now), m -> coordinator.leads() ? coordinator.silentMs(m, now) : -1);
+        if (ruling.refusal() != null) {
+            reply.refuse(ruling.refusal());
+        } else if (ruling.write() == null) {
+            reply.tell(ruling.text());
+        } else {
+            store.submit(expects(ruling.write()), changes(ruling.write()), result -> {
+                if (result instanceof Store.Committed) {
+                    log.accept("fleet: " + ruling.write().why());
+                    seen(((Store.Committed) result).version(), now + SEEN_MS, () -> reply.tell(ruling.text()));
+                } else if (result instanceof Store.Rejected r && tries > 1 && r.why().contains(" is at version ")) {
+                    // It was decided on a copy that had moved on: once more, on what is there now.
+                    loop.schedule(() -> answer(question, reply, tries - 1), TICK_MS, TimeUnit.MILLISECONDS);
+                } else {
+                    reply.refuse(result instanceof Store.Rejected r ? "not done: " + r.why()
+                            : "unknown: begun, but no majority has it in time; look again");
+                }
+            });
+        }
+    }
+}
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -18,6 +18,7 @@
 import reeldeal.core.Request;
 import reeldeal.decide.Aggregator.ListKind;
 import reeldeal.discovery.Watch;
+import reeldeal.fleet.release.Health;
 import reeldeal.http.HttpServer;
 import reeldeal.platform.PlatformFront;
 import reeldeal.search.SearchFront;
@@ -55,6 +56,8 @@
     private double lastTurn = Double.NEGATIVE_INFINITY;
     private long nextRequest = 1;
     private boolean ready;
+    private volatile boolean out;
+    private Tally tally;
     private volatile double drainBegan = Double.POSITIVE_INFINITY;
 
     public Broker(EventLoopGroup group, Config config) {
@@ -190,6 +193,21 @@
         loop.execute(() -> event(event));
     }
 
+    /** Says whether clients are to be sent elsewhere, for as long as a drain of the fleet's stands. */
+    void out(boolean now) {
+        out = now;
+    }
+
+    /** Counts from now on, for a comparison with other brokers; before it serves. */
+    void count() {
+        tally = new Tally();
+    }
+
+    /** What was counted, or nothing. */
+    Health.Counts counts() {
+        return tally == null ? new Health.Counts(0, 0, 0, 0, 0) : tally.counts();
+    }
+
     /** The platform front's port. */
     int port() {
         return servers.get(0).address().getPort();
@@ -218,7 +236,8 @@
 
     @Override
     public void submit(Request request, Consumer<Reply> reply) {
-        replies.put(request.id(), reply);
+        replies.put(request.id(), tally == null ? reply : tally.asked(clock.now()
+                + config.settings().classes().get(request.klass()).aimMs(), reply, clock::now));
         boolean late = clock.now() > drainBegan + DRAIN_LATE_MS;
         event(new Event.Arrived(late ? request.until(drainBegan + DRAIN_END_MS) : request));
     }
@@ -237,13 +256,16 @@
 
     @Override
     public boolean ready() {
-        return ready && drainBegan == Double.POSITIVE_INFINITY;
+        return ready && !out && drainBegan == Double.POSITIVE_INFINITY;
     }
 
     // ---- turns ----
 
     /** Keeps an event for the next turn; turns come at most once in the settings' period. */
     private void event(Event event) {
+        if (tally != null && event instanceof Event.AttemptEnded ended) {
+            tally.ended(ended.end());
+        }
         events.add(event);
         if (!turnPlanned) {
             turnPlanned = true;
@@ -267,6 +289,9 @@
 
     private void carryOut(Effect effect) {
         if (effect instanceof Effect.Call call) {
+            if (tally != null) {
+                tally.sent(call.sends().size());
+            }
             searchers.call(call);
         } else if (effect instanceof Effect.Abandon abandon) {
             searchers.abandon(abandon);
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -16,6 +16,8 @@
 import reeldeal.cli.Commands;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
+import reeldeal.muster.FleetConfig;
+import reeldeal.muster.Muster;
 import reeldeal.store.Change;
 import reeldeal.store.Store;
 import reeldeal.zones.ZonesConfig;
@@ -64,18 +66,29 @@
                 store.start().sync();
             }
             EventLoopGroup group = new NioEventLoopGroup(1);
-            byte[] bytes = file != null ? file : kept(state, store);
+            FleetConfig fleet = storeFile == null ? null : storeFile.fleet();
+            String released = fleet == null ? null : Member.released(state, store);
+            byte[] bytes = released != null ? released.getBytes(StandardCharsets.UTF_8) : file != null ? file : kept(state, store);
             Config config = Config.parse(bytes, System.getenv(), zones != null);
             Broker broker = daemon == null ? new Broker(group, config) : new Broker(group, config, daemon::discovery);
             if (file != null && store != null) {
                 keep(state, store, new String(file, StandardCharsets.UTF_8));
             }
-            stopInOrder(broker);
+            Muster muster = fleet == null ? null : new Member(state, store, fleet, broker, config,
+                    new String(bytes, StandardCharsets.UTF_8), daemon).muster();
+            stopInOrder(broker, muster);
             reloadOnHangUp(broker, daemon);
             if (daemon != null) {
                 daemon.start(broker::tell);
             }
+            if (muster != null) {
+                broker.count();
+                state.next().submit(muster::start).sync();
+            }
             broker.start();
+            if (muster != null) {
+                muster.ready();
+            }
         } catch (Config.Invalid | IllegalArgumentException e) {
             System.err.println("reeldeal: " + e.getMessage());
             Runtime.getRuntime().halt(2);
@@ -158,10 +171,16 @@
     }
 
     /** On SIGTERM the broker ends in order; that is status 0, not the signal's. */
-    private static void stopInOrder(Broker broker) {
+    private static void stopInOrder(Broker broker, Muster muster) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
+                if (muster != null) {
+                    muster.terminate();
+                }
                 broker.drain();
+                if (muster != null) {
+                    muster.gone();
+                }
             } catch (InterruptedException | RuntimeException e) {
                 System.err.println("reeldeal: stopped early: " + e);
             }
--- a/src/main/java/reeldeal/serve/ZoneDaemon.java
+++ b/src/main/java/reeldeal/serve/ZoneDaemon.java
@@ -29,6 +29,8 @@
     private final ZoneService service;
     private final List<Event.Told> early = new ArrayList<>();
     private Consumer<Event> broker;
+    private Map<String, Membership.Word> fromFile = Map.of();
+    private Set<String> byFleet = Set.of();
 
     /** For a store that has not begun yet. */
     ZoneDaemon(EventLoopGroup state, Store store, ZonesConfig config) {
@@ -79,10 +81,24 @@
         }
         try {
             Map<String, Membership.Word> words = WordsFile.read(config.words());
-            state.next().execute(() -> feed.words(words));
+            state.next().execute(() -> {
+                fromFile = words;
+                feed.words(fromFile, byFleet);
+            });
             Broker.log("members: " + words.size() + " words of the operator read");
         } catch (Config.Invalid | IOException e) {
             Broker.log("members: operator's words not read: " + e.getMessage());
         }
     }
+
+    /** The searchers that the fleet has drained, all of them; on the state loop. */
+    void drained(Set<String> searchers) {
+        byFleet = searchers;
+        feed.words(fromFile, byFleet);
+    }
+
+    /** The list with its reasons; on the state loop. */
+    List<Membership.Entry> view() {
+        return feed.view();
+    }
 }
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -89,6 +89,8 @@
     private final Lanes lanes;
     private final Map<Long, Lanes.Send> forwarded = new HashMap<>();
     private long nextForward = 1;
+    private final Map<Long, Runnable> confirming = new HashMap<>();
+    private long nextRead = 1;
     private boolean lanesPlanned;
     private final List<Consumer<List<Change>>> listeners = new ArrayList<>();
     private final List<Runnable> whenWriting = new ArrayList<>();
@@ -105,6 +107,7 @@
     private boolean closed;
     private boolean stepping;
     private boolean stuck;
+    private Members linkedFor;
 
     /** Opens the node's folder; throws where it cannot be used. */
     public Store(EventLoopGroup group, StoreConfig config, Consumer<String> log) throws IOException {
@@ -223,6 +226,11 @@
         whenOld.add(run);
     }
 
+    /** Whether {@link #getEvenOld} has an answer: the group was heard, or waited for in vain. */
+    public boolean tellsSomething() {
+        return wasCurrent || old != null;
+    }
+
     /** A committed value; where the group was not reached at the start, what lies here. */
     public String getEvenOld(String key) {
         State.Value value = wasCurrent || old == null ? state.get(key) : old.get(key);
@@ -479,6 +487,14 @@
         told = taker;
     }
 
+    /** Runs this once a majority has confirmed, after now, that this node leads; never where that fails. */
+    public void confirm(Runnable then) {
+        long id = nextRead++;
+        confirming.put(id, then);
+        raft.read(id);
+        step();
+    }
+
     /** This node's name. */
     public String node() {
         return config.node();
@@ -532,10 +548,22 @@
 
     /** The nodes that the group has, by the log, and those of this node's file. */
     private void connectAll() {
-        config.nodes().forEach(links::connect);
+        linkedFor = raft.members();
+        config.nodes().forEach((node, at) -> {
+            if (speaksTo(node)) {
+                links.connect(node, at);
+            } else {
+                links.drop(node);
+            }
+        });
         state.under(NODE_KEY).forEach((key, value) -> nodeAt(key.substring(NODE_KEY.length()), value.text()));
     }
 
+    /** Who only follows has something to say to voters only, and voters to all. */
+    private boolean speaksTo(String node) {
+        return linkedFor.voters().contains(config.node()) || linkedFor.voters().contains(node);
+    }
+
     private void nodesIn(List<Change> changes) {
         for (Change c : changes) {
             if (c.key().startsWith(NODE_KEY)) {
@@ -550,7 +578,7 @@
             return;
         }
         int colon = address == null ? -1 : address.lastIndexOf(':');
-        if (colon < 0) {
+        if (colon < 0 || !speaksTo(node)) {
             links.drop(node);
         } else {
             links.connect(node, new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
@@ -580,7 +608,8 @@
         stepping = true;
         for (boolean more = true; more && !closed;) {
             Output out = raft.take();
-            more = !out.persists.isEmpty() || !out.messages.isEmpty() || out.install() != null || !out.committed.isEmpty();
+            more = !out.persists.isEmpty() || !out.messages.isEmpty() || out.install() != null || !out.committed.isEmpty()
+                    || !out.reads.isEmpty();
             out.notes.forEach(n -> log.accept("store: " + n));
             queued.addAll(out.persists);
             flush();
@@ -592,6 +621,13 @@
             if (out.install() != null) {
                 install(out.install().data());
             }
+            out.failedReads.forEach(confirming::remove);
+            out.reads.forEach(r -> {
+                Runnable then = confirming.remove(r.read());
+                if (then != null) {
+                    group.next().execute(then);
+                }
+            });
             waiting.addAll(out.committed);
             apply();
             roles();
@@ -749,6 +785,9 @@
     }
 
     private void roles() {
+        if (linkedFor != null && raft.members() != linkedFor) {
+            connectAll();
+        }
         if (stuck) {
             writer = false;
             current = false;
--- a/src/test/java/reeldeal/serve/Discovery.java
+++ b/src/test/java/reeldeal/serve/Discovery.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import reeldeal.drill.Wire;
 
 /** A stand-in for discovery: the whole list, and a watch that waits for changes. */
 final class Discovery implements AutoCloseable {
--- a/src/test/java/reeldeal/serve/DrainReplay.java
+++ b/src/test/java/reeldeal/serve/DrainReplay.java
@@ -31,6 +31,8 @@
 import org.xbill.DNS.Update;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
+import reeldeal.drill.StandIn;
+import reeldeal.drill.Wire;
 import reeldeal.store.Store;
 import reeldeal.zones.ZoneBed;
 
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -34,6 +34,7 @@
 import org.junit.Test;
 import org.junit.runner.RunWith;
 import org.junit.runners.Parameterized;
+import reeldeal.drill.Wire;
 
 /**
  * Plays the recorded exchanges of src/test/resources/exchanges against the program over sockets. Each line is
