--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -65,7 +65,7 @@
     private final Settings settings;
     private final List<String> zones;
     private final List<String> kinds;
-    private final Aggregator module;
+    private final Choice module;
     private final Map<Long, Asked> open = new HashMap<>();
     private final Map<String, Double> names = new HashMap<>();
     private final ArrayDeque<String> namesLeaving = new ArrayDeque<>();
@@ -112,6 +112,18 @@
         return open.size();
     }
 
+    /** The names of searchers that the module has put out of use for their failures. */
+    public java.util.Set<String> ejected() {
+        java.util.Set<Long> out = reeldeal.decide.Ejected.of(module);
+        java.util.Set<String> ejected = new java.util.TreeSet<>();
+        ids.forEach((name, id) -> {
+            if (out.contains(id)) {
+                ejected.add(name);
+            }
+        });
+        return ejected;
+    }
+
     /** Searchers, and names of requests, that are remembered. */
     int remembered() {
         return searchers.size() + ids.size() + names.size();
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -62,7 +62,7 @@
     private final Rules rules;
     private final Actions actions;
     private final double aim;
-    private final TreeMap<Long, Leaf> leaves = new TreeMap<>();
+    final TreeMap<Long, Leaf> leaves = new TreeMap<>();
     private final List<List<Leaf>> cells = new ArrayList<>();
     private final List<List<Leaf>> holders = new ArrayList<>(); // of the shards that begin at each cell
     private final Map<Long, QueryState> queries = new HashMap<>();
--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -78,10 +78,10 @@
         return serves && alive() && !paused;
     }
 
-    void kill() {
+    void kill() throws InterruptedException {
         history.add(name, "kill", "");
         serves = false;
-        process.destroyForcibly();
+        process.destroyForcibly().waitFor();
     }
 
     void terminate() {
--- a/src/main/java/reeldeal/fleet/Coordinator.java
+++ b/src/main/java/reeldeal/fleet/Coordinator.java
@@ -30,7 +30,9 @@
     private long leaderlessMs;
     private long lastSerial = -1;
     private long grantSeenAt;
+    private final Map<String, Set<String>> ejected = new HashMap<>();
     private Map<String, Seen> searchers;
+    private Set<String> voters = Set.of();
     private Permits.Shards shards = new Permits.Shards(0, 0, 0);
 
     public Coordinator(Permits permits, Releases releases, Leases leases) {
@@ -50,6 +52,7 @@
         lastSerial = fleet == null ? -1 : fleet.version(Fleet.SERIAL);
         stages.clear();
         health.clear();
+        ejected.clear();
         leases.begin(now);
         if (fleet != null) {
             leases.view(fleet, now);
@@ -82,15 +85,29 @@
 
     /** The list of searchers as this node has it, and where shards lie; null for no list yet. */
     public void searchers(Map<String, Seen> list, Permits.Shards layout) {
-        searchers = list;
         shards = layout;
+        if (list == null || ejected.isEmpty()) {
+            searchers = list;
+            return;
+        }
+        // Out of use at most brokers that live: one broker's trouble is its own.
+        List<Member> live = fleet.members().values().stream().filter(Member::live).toList();
+        searchers = new HashMap<>();
+        list.forEach((name, s) -> searchers.put(name, new Seen(s.name(), s.zone(), s.kind(), s.cell(), s.since(), s.ready(), s.warm(),
+                2 * live.stream().filter(m -> ejected.getOrDefault(m.name(), Set.of()).contains(name)).count() > live.size())));
+    }
+
+    /** The store's voters: a majority of them must stay. */
+    public void voters(Set<String> of) {
+        voters = of;
     }
 
     /** A beat of a member; true where it is to be answered, since its lease stands. */
-    public boolean beat(long now, String name, long incarnation, long seen, Health.Counts counts) {
+    public boolean beat(long now, String name, long incarnation, long seen, Health.Counts counts, Set<String> outOfUse) {
         if (!leads || fleet == null || !leases.heard(fleet, name, incarnation, seen, now)) {
             return false;
         }
+        ejected.put(name, outOfUse);
         health.heard(name, fleet.members().get(name).boot(), now, counts);
         return true;
     }
@@ -104,7 +121,7 @@
 
     /** What this leader knows beside the store, now. */
     public Permits.Facts facts(long now) {
-        return new Permits.Facts(searchers, shards, now - grantSeenAt);
+        return new Permits.Facts(searchers, shards, voters, now - grantSeenAt);
     }
 
     /** The next write, or null; asked again once that has ended. */
--- a/src/main/java/reeldeal/fleet/members/Self.java
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -56,6 +56,7 @@
     private final Permits permits;
     private final Lease lease;
     private Fleet fleet;
+    private java.util.Set<String> voters = java.util.Set.of();
     private long seen;
     private boolean current;
     private boolean ready;
@@ -100,6 +101,11 @@
         tick(now);
     }
 
+    /** The store's voters: a majority of them must stay. */
+    public void voters(java.util.Set<String> of) {
+        voters = of;
+    }
+
     /** The broker takes clients. */
     public void ready(long now) {
         ready = true;
@@ -289,7 +295,7 @@
             acts.add(new Say("no permit to end in " + times.exitWaitMs() + " ms; ending unplanned"));
             return;
         }
-        Permits.Ruling ruling = permits.grant(fleet, new Permits.Facts(null, new Permits.Shards(0, 0, 0), now - grantSeenAt),
+        Permits.Ruling ruling = permits.grant(fleet, new Permits.Facts(null, new Permits.Shards(0, 0, 0), voters, now - grantSeenAt),
                 Kind.BROKER, who.name(), "exit", "told to end");
         if (ruling.write() != null) {
             put(ruling.write());
--- a/src/main/java/reeldeal/fleet/permits/Permits.java
+++ b/src/main/java/reeldeal/fleet/permits/Permits.java
@@ -31,9 +31,10 @@
      * What the leader knows beside the store.
      *
      * @param searchers its list, by name; null where it has none yet, and then no searcher's matter is decided
+     * @param voters the store's voters, empty where they do not matter
      * @param sinceGrantMs how long ago the last grant was seen, by its steady clock, 0 at the most its leadership
      */
-    public record Facts(Map<String, Seen> searchers, Shards shards, long sinceGrantMs) { }
+    public record Facts(Map<String, Seen> searchers, Shards shards, Set<String> voters, long sinceGrantMs) { }
 
     /** A ruling: the write that grants it, or why not. */
     public record Ruling(Write write, String refusal) {
@@ -127,6 +128,14 @@
         return null;
     }
 
+    /** Why the store would lose its majority, or null; one or two voters have none to spare, and are restarted all the same. */
+    private static String majority(Set<String> voters, String name, Set<String> out) {
+        long left = voters.stream().filter(v -> !out.contains(v)).count();
+        int needed = voters.size() / 2 + 1;
+        return voters.contains(name) && voters.size() > 2 && left < needed ? name + " votes in the store, and " + left + " of "
+                + voters.size() + " voters would be left, " + needed + " are needed" : null;
+    }
+
     private static <T> String overBy(String what, Set<String> out, String bound, Map<String, T> all, Function<T, String> part) {
         Map<String, Long> sizes = new TreeMap<>();
         all.values().forEach(m -> sizes.merge(part.apply(m), 1L, Long::sum));
@@ -167,6 +176,7 @@
             Set<String> out = new HashSet<>(brokersOut(fleet));
             out.add(name);
             over = overBrokers(fleet, out);
+            over = over != null ? over : majority(facts.voters(), name, out);
             mark = member.boot();
             // Whoever lapses, comes or goes in the same moment changes what this was decided from.
             write.need(Fleet.BOOT + name, member.incarnation());
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -33,6 +33,7 @@
     private static final int GONE_MS = 1_500;
     private static final int SEEN_MS = 2_000;
     private static final int TRIES = 5;
+    private static final int MOST_EJECTED = 100;
 
     /** The broker that is a member; called on the state loop. */
     public interface Host {
@@ -48,6 +49,9 @@
         /** What was counted so far. */
         Health.Counts counts();
 
+        /** The searchers that are out of use here for their failures. */
+        Set<String> ejected();
+
         /** The list of searchers as it is here, no drain of the fleet's counted; null where there is none. */
         Map<String, Seen> searchers();
 
@@ -129,6 +133,8 @@
             host.drained(drains); // before anybody is told that this node has seen them
         }
         seenOf = store.version();
+        coordinator.voters(store.members().voters());
+        self.voters(store.members().voters());
         coordinator.view(nowMs(), fleet);
         self.view(nowMs(), fleet, seenOf, store.isCurrent());
         perform();
@@ -199,6 +205,7 @@
             } else if (act instanceof Self.Exit leave) {
                 log.accept("fleet: ends: " + leave.why());
                 exit.countDown();
+                store.handOver();
                 host.exit(leave.why());
             } else if (act instanceof Self.Say say) {
                 log.accept("fleet: " + say.line());
@@ -212,7 +219,8 @@
             Health.Counts c = host.counts();
             store.tell(leader, new Words().with("beat", beat.incarnation()).with("sent", beat.sentAt()).with("seen", beat.seen())
                     .with("asked", c.asked()).with("late", c.late()).with("refused", c.refused()).with("attempts", c.attempts())
-                    .with("failed", c.failed()).toString().getBytes(StandardCharsets.UTF_8));
+                    .with("failed", c.failed()).with("ejected", host.ejected().stream().limit(MOST_EJECTED)
+                    .collect(java.util.stream.Collectors.joining(","))).toString().getBytes(StandardCharsets.UTF_8));
         }
     }
 
@@ -221,7 +229,7 @@
         if (!words.get("beat").isEmpty()) {
             long incarnation = words.number("beat", 0);
             if (coordinator.beat(nowMs(), from, incarnation, words.number("seen", 0), new Health.Counts(words.number("asked", 0),
-                    words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)))) {
+                    words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)), Set.of(words.get("ejected").split(",")))) {
                 byte[] answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0)).toString()
                         .getBytes(StandardCharsets.UTF_8);
                 unanswered.add(() -> store.tell(from, answer));
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -58,6 +58,7 @@
     private boolean ready;
     private volatile boolean out;
     private Tally tally;
+    private volatile java.util.Set<String> ejected = java.util.Set.of();
     private volatile double drainBegan = Double.POSITIVE_INFINITY;
 
     public Broker(EventLoopGroup group, Config config) {
@@ -201,6 +202,12 @@
     /** Counts from now on, for a comparison with other brokers; before it serves. */
     void count() {
         tally = new Tally();
+        loop.scheduleWithFixedDelay(() -> ejected = reducer.ejected(), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The searchers that are out of use here for their failures, as of the last second. */
+    java.util.Set<String> ejected() {
+        return ejected;
     }
 
     /** What was counted, or nothing. */
--- a/src/main/java/reeldeal/serve/Member.java
+++ b/src/main/java/reeldeal/serve/Member.java
@@ -46,6 +46,11 @@
                 return broker.counts();
             }
 
+            @Override
+            public Set<String> ejected() {
+                return broker.ejected();
+            }
+
             @Override
             public Map<String, Seen> searchers() {
                 return zones == null ? null : seen(zones, coldMs);
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -599,6 +599,14 @@
         return begun;
     }
 
+    /** Where this node leads, hands over to the voter that has most of the log: it is about to end. */
+    public void handOver() {
+        if (writer) {
+            raft.members().voters().stream().filter(v -> !v.equals(config.node()) && raft.standing(v).heard())
+                    .min(java.util.Comparator.comparingLong(v -> raft.standing(v).behind())).ifPresent(this::transfer);
+        }
+    }
+
     // ---- what the module asks for ----
 
     private void step() {
--- a/src/test/java/reeldeal/fleet/FleetSimulation.java
+++ b/src/test/java/reeldeal/fleet/FleetSimulation.java
@@ -213,7 +213,7 @@
                 return;
             }
             long came = now;
-            boolean taken = coordinator.beat(clock(), from.name, beat.incarnation(), beat.seen(), new Health.Counts(0, 0, 0, 0, 0));
+            boolean taken = coordinator.beat(clock(), from.name, beat.incarnation(), beat.seen(), new Health.Counts(0, 0, 0, 0, 0), Set.of());
             after(1 + rng.nextInt(20), () -> {
                 boolean confirmed = leader == id && leaderSince <= came;
                 if (taken && (confirmed || !parts.confirms()) && !from.cut && rng.nextInt(20) > 0) {
