--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -78,15 +78,16 @@
         return serves && alive() && !paused;
     }
 
-    void kill() throws InterruptedException {
+    void kill() throws IOException, InterruptedException {
         history.add(name, "kill", "");
         serves = false;
-        process.destroyForcibly().waitFor();
+        signal("KILL"); // the JVM's own way to end a process closes what it has yet to say
+        process.waitFor();
     }
 
-    void terminate() {
+    void terminate() throws IOException, InterruptedException {
         history.add(name, "terminate", "");
-        process.destroy();
+        signal("TERM");
     }
 
     private void signal(String signal) throws IOException, InterruptedException {
--- a/src/main/java/reeldeal/drill/Check.java
+++ b/src/main/java/reeldeal/drill/Check.java
@@ -12,8 +12,8 @@
 import reeldeal.fleet.Fleet.Kind;
 import reeldeal.fleet.Fleet.Permit;
 import reeldeal.fleet.Fleet.Stage;
+import reeldeal.fleet.Policy;
 import reeldeal.fleet.Words;
-import reeldeal.fleet.permits.Policy;
 
 /** The rules, over a whole recorded history and nothing else. */
 final class Check {
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -177,7 +177,7 @@
         Words policy = new Words().with("brokers_out", "1").with("apart_ms", "200");
         scenario.policy().forEach(policy::with);
         order("fleet policy " + policy);
-        history.add("operator", "policy", String.valueOf(reeldeal.fleet.permits.Policy.of(policy.get("brokers_out"), brokers.size())));
+        history.add("operator", "policy", String.valueOf(reeldeal.fleet.Policy.of(policy.get("brokers_out"), brokers.size())));
         load = new Load(List.copyOf(brokers.values()), 12, scenario.perSecond(), 8, history);
         Thread.sleep(2_000);
         if (scenario.release()) {
--- a/src/main/java/reeldeal/fleet/Fleet.java
+++ b/src/main/java/reeldeal/fleet/Fleet.java
@@ -6,7 +6,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import reeldeal.fleet.permits.Policy;
 
 /**
  * What the store says of the fleet at one version. Whoever decides does so from this and from what it is told
--- a/src/main/java/reeldeal/fleet/permits/Policy.java
+++ b/src/main/java/reeldeal/fleet/Policy.java
@@ -1,8 +1,7 @@
-package reeldeal.fleet.permits;
+package reeldeal.fleet;
 
 import java.util.Map;
 import java.util.TreeMap;
-import reeldeal.fleet.Words;
 
 /**
  * How many may be out at once, as the store keeps it. A bound is a number, or a share as {@code 25%}, which is
--- a/src/main/java/reeldeal/fleet/Coordinator.java
+++ b/src/main/java/reeldeal/fleet/lead/Coordinator.java
@@ -1,12 +1,14 @@
-package reeldeal.fleet;
+package reeldeal.fleet.lead;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Fleet.Member;
 import reeldeal.fleet.Fleet.Step;
+import reeldeal.fleet.Write;
 import reeldeal.fleet.members.Leases;
 import reeldeal.fleet.permits.Permits;
 import reeldeal.fleet.permits.Seen;
--- a/src/main/java/reeldeal/fleet/Desk.java
+++ b/src/main/java/reeldeal/fleet/lead/Desk.java
@@ -1,17 +1,20 @@
-package reeldeal.fleet;
+package reeldeal.fleet.lead;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.ToLongFunction;
+import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Fleet.Kind;
 import reeldeal.fleet.Fleet.Member;
 import reeldeal.fleet.Fleet.Permit;
 import reeldeal.fleet.Fleet.Progress;
 import reeldeal.fleet.Fleet.Release;
+import reeldeal.fleet.Policy;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.Write;
 import reeldeal.fleet.permits.Permits;
-import reeldeal.fleet.permits.Policy;
 import reeldeal.fleet.release.Releases;
 
 /**
--- a/src/main/java/reeldeal/fleet/permits/Permits.java
+++ b/src/main/java/reeldeal/fleet/permits/Permits.java
@@ -14,6 +14,7 @@
 import reeldeal.fleet.Fleet.Member;
 import reeldeal.fleet.Fleet.Permit;
 import reeldeal.fleet.Fleet.Stage;
+import reeldeal.fleet.Policy;
 import reeldeal.fleet.Write;
 
 /**
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,11 +10,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import reeldeal.fleet.Coordinator;
-import reeldeal.fleet.Desk;
 import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Words;
 import reeldeal.fleet.Write;
+import reeldeal.fleet.lead.Coordinator;
+import reeldeal.fleet.lead.Desk;
 import reeldeal.fleet.members.Leases;
 import reeldeal.fleet.members.Self;
 import reeldeal.fleet.permits.Permits;
@@ -57,9 +56,6 @@
 
         /** Where shards lie. */
         Permits.Shards shards();
-
-        /** The searchers that the fleet has drained, all of them. */
-        void drained(Set<String> searchers);
     }
 
     private final EventLoop loop;
@@ -76,7 +72,6 @@
     private boolean viewPlanned;
     private boolean answersPlanned;
     private long leaderSeenAt = nowMs();
-    private Set<String> drained = new HashSet<>();
     private long seenOf = -1;
 
     /** For a store that has not begun yet; {@code config} names the configuration that the broker runs with. */
@@ -127,11 +122,6 @@
         Map<String, Fleet.Value> values = new TreeMap<>();
         store.under(Fleet.ROOT).forEach((k, v) -> values.put(k, new Fleet.Value(v.text(), v.version())));
         fleet = new Fleet(values);
-        Set<String> drains = new HashSet<>(fleet.drainedSearchers());
-        if (!drains.equals(drained)) {
-            drained = drains;
-            host.drained(drains); // before anybody is told that this node has seen them
-        }
         seenOf = store.version();
         coordinator.voters(store.members().voters());
         self.voters(store.members().voters());
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -78,13 +78,13 @@
                     new String(bytes, StandardCharsets.UTF_8), daemon).muster();
             stopInOrder(broker, muster);
             reloadOnHangUp(broker, daemon);
-            if (daemon != null) {
-                daemon.start(broker::tell);
-            }
             if (muster != null) {
                 broker.count();
                 state.next().submit(muster::start).sync();
             }
+            if (daemon != null) {
+                daemon.start(broker::tell);
+            }
             broker.start();
             if (muster != null) {
                 muster.ready();
--- a/src/main/java/reeldeal/serve/Member.java
+++ b/src/main/java/reeldeal/serve/Member.java
@@ -60,13 +60,6 @@
             public Permits.Shards shards() {
                 return new Permits.Shards(config.shards(), layout.cells(), layout.inARow());
             }
-
-            @Override
-            public void drained(Set<String> searchers) {
-                if (zones != null) {
-                    zones.drained(searchers);
-                }
-            }
         }, Broker::log);
     }
 
--- a/src/main/java/reeldeal/serve/ZoneDaemon.java
+++ b/src/main/java/reeldeal/serve/ZoneDaemon.java
@@ -4,16 +4,20 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import reeldeal.config.Config;
 import reeldeal.config.WordsFile;
 import reeldeal.core.Event;
+import reeldeal.fleet.Fleet;
 import reeldeal.membership.MemberFeed;
 import reeldeal.membership.Membership;
+import reeldeal.store.State;
 import reeldeal.store.Store;
 import reeldeal.zones.DnsServer;
 import reeldeal.zones.Notifier;
@@ -31,6 +35,7 @@
     private Consumer<Event> broker;
     private Map<String, Membership.Word> fromFile = Map.of();
     private Set<String> byFleet = Set.of();
+    private Set<String> byOldCopy = Set.of();
 
     /** For a store that has not begun yet. */
     ZoneDaemon(EventLoopGroup state, Store store, ZonesConfig config) {
@@ -43,6 +48,7 @@
         feed = new MemberFeed(state.next(), new Membership(config.rules(), sources), awaited,
                 System::currentTimeMillis, this::told, Broker::log, left -> ZoneService.keepLeft(store, left));
         Notifier notifier = new Notifier(state, state.next(), config.keys(), System::currentTimeMillis, Broker::log);
+        followDrains(store);
         service = new ZoneService(config, store, state.next(), PeerLink.over(state), notifier,
                 System::currentTimeMillis, feed, Broker::log);
         readWords();
@@ -91,10 +97,33 @@
         }
     }
 
-    /** The searchers that the fleet has drained, all of them; on the state loop. */
-    void drained(Set<String> searchers) {
-        byFleet = searchers;
-        feed.words(fromFile, byFleet);
+    /**
+     * Follows the drains that the fleet has agreed on, before any list is told that they bear on. Until this node is
+     * current again, those of its old copy count as well: they may stand in the log further on.
+     */
+    private void followDrains(Store store) {
+        String prefix = Fleet.drainKey(Fleet.Kind.SEARCHER, "");
+        store.onChange(changes -> {
+            if (changes.stream().anyMatch(c -> c.key().startsWith(prefix))) {
+                drained(names(prefix, store.under(prefix)), byOldCopy);
+            }
+        });
+        store.whenOld(copy -> drained(names(prefix, store.under(prefix)), names(prefix, copy.under(prefix))));
+        store.whenCurrent(() -> drained(names(prefix, store.under(prefix)), Set.of()));
+    }
+
+    private static Set<String> names(String prefix, Map<String, State.Value> drains) {
+        return drains.keySet().stream().map(k -> k.substring(prefix.length())).collect(Collectors.toSet());
+    }
+
+    private void drained(Set<String> now, Set<String> old) {
+        byOldCopy = old;
+        Set<String> all = new HashSet<>(now);
+        all.addAll(old);
+        if (!all.equals(byFleet)) {
+            byFleet = all;
+            feed.words(fromFile, byFleet);
+        }
     }
 
     /** The list with its reasons; on the state loop. */
--- /dev/null
+++ b/src/test/java/reeldeal/drill/DrillTest.java
@@ -0,0 +1,106 @@
+package reeldeal.drill;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.After;
+import org.junit.Test;
+import reeldeal.config.Config;
+import reeldeal.config.Scenario;
+
+/** Real processes: the short form of the drill, and the checker on histories that hold and that do not. */
+public class DrillTest {
+    private static final Path RESOURCES = Path.of("src/test/resources/drill");
+    private Path folder;
+
+    @After
+    public void clean() throws IOException {
+        if (folder != null) {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path f : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(f);
+                }
+            }
+        }
+    }
+
+    private List<History.Event> play(String name) throws Exception {
+        folder = Files.createTempDirectory("drill");
+        try (Drill drill = new Drill(Scenario.read(RESOURCES.resolve(name + ".json")), 1, folder.resolve("run"), null)) {
+            Drill.Result result = drill.play();
+            assertEquals(result.figures().toString(), List.of(), result.broken());
+        }
+        assertTrue(Files.readString(folder.resolve("run/report.md")).contains("All rules hold."));
+        return History.read(folder.resolve("run/history.txt"));
+    }
+
+    @Test
+    public void aReleaseSurvivesItsLeadersDeathAndLostFrames() throws Exception {
+        List<History.Event> events = play("short");
+        assertEquals("each was restarted once", 5, events.stream().filter(e -> e.rest().startsWith("fleet: ends: release")).count());
+        assertEquals(5, events.stream().filter(e -> e.what().equals("final") && e.rest().equals("state=serving is=new")).count());
+    }
+
+    @Test
+    public void threeThatAreKilledAndAloneServeFromOldCopiesAndKnowWhoIsDrained() throws Exception {
+        List<History.Event> events = play("apart");
+        assertEquals(3, events.stream().filter(e -> e.rest().contains("going on from the copy here")).count());
+        long apart = events.stream().filter(e -> e.rest().contains("going on from the copy here")).mapToLong(History.Event::at).max().orElseThrow();
+        long heals = events.stream().filter(e -> e.what().equals("heal")).mapToLong(History.Event::at).min().orElseThrow();
+        assertTrue("they serve meanwhile", events.stream().filter(e -> e.what().equals("answer") && e.at() > apart && e.at() < heals
+                && e.rest().contains("whole=true")).count() > 20);
+    }
+
+    private static List<History.Event> events(String... lines) {
+        List<History.Event> events = new ArrayList<>();
+        for (String line : lines) {
+            String[] words = line.split(" ", 4);
+            events.add(new History.Event(Long.parseLong(words[0]), words[1], words[2], words.length > 3 ? words[3] : ""));
+        }
+        return events;
+    }
+
+    @Test
+    public void theCheckerTellsBrokenHistories() {
+        assertEquals(List.of(), Check.of(events("1 c ask id=q to=b", "2 b kill", "3 c noanswer id=q to=b why=x", "4 s drained", "400 s part p",
+                "500 s undrained", "2000 s part p")).broken());
+        String[][] broken = {
+            {"1 c ask id=q to=b", "3 c noanswer id=q to=b why=x"},
+            {"1 c ask id=q to=b"},
+            {"1 c ask id=q to=b", "2 c answer id=q to=b status=200", "3 c answer id=q to=b status=200"},
+            {"4 s drained", "505 s part p"},
+            {"1 o policy 1", "2 a log fleet: drains", "3 b log fleet: drains"},
+            {"2 a log fleet: ends: release r1", "3 a log serving as a", "4 a log fleet: ends: release r1"},
+            {"1 o progress progress=done way=back", "2 a final state=serving is=new"},
+            {"1 log commit version=1 fleet/policy=%2Bbrokers_out%3D1 fleet/boot/a=%2Bboot%3Da fleet/boot/b=%2Bboot%3Db fleet/permit/broker/a=%2Bplanned%3Dtrue",
+                "2 log commit version=2 fleet/permit/broker/b=%2Bplanned%3Dtrue"},
+            {"1 log commit version=1 fleet/boot/a=%2Bboot%3Da fleet/permit/broker/a=%2Bplanned%3Dtrue+mark%3Da", "2 log commit version=2 fleet/permit/broker/a=-"}};
+        for (String[] history : broken) {
+            assertTrue(String.join("; ", history), !Check.of(events(history)).broken().isEmpty());
+        }
+    }
+
+    @Test
+    public void aCallsPartsAreReadByTheirLengths() {
+        assertEquals(List.of("q.1", "q.2"), StandIn.names("q.1 1 d=3 1\nxq.2 2 d=3,k=y 2\nzz"));
+    }
+
+    @Test
+    public void aScenarioThatCannotBeUsedNamesThePlace() throws Exception {
+        folder = Files.createTempDirectory("drill");
+        Path file = Files.writeString(folder.resolve("s.json"), "{\"voters\": 3, \"actions\": [{\"verb\": \"explode\"}]}");
+        try {
+            Scenario.read(file);
+            assertTrue("it was taken", false);
+        } catch (Config.Invalid e) {
+            assertTrue(e.getMessage(), e.getMessage().contains("actions.0.verb: expected one of"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/reeldeal/fleet/HealthTest.java
@@ -0,0 +1,70 @@
+package reeldeal.fleet;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.Set;
+import org.junit.Test;
+import reeldeal.fleet.Fleet.Kind;
+import reeldeal.fleet.permits.Permits;
+import reeldeal.fleet.release.Health;
+
+/** What halts a release for its members' sake, and who may be out beside the numbers. */
+public class HealthTest {
+    private static final Set<String> CHANGED = Set.of("a");
+    private static final Set<String> REST = Set.of("b");
+
+    private static String after(int seconds, int badFrom, int badTo, int perSecond) {
+        Health health = new Health();
+        String worse = null;
+        long bad = 0;
+        for (int s = 0; s <= seconds; s++) {
+            bad += s >= badFrom && s < badTo ? perSecond / 5 : 0;
+            health.heard("a", "a1", s * 1_000, new Health.Counts((long) s * perSecond, bad, 0, 0, 0));
+            health.heard("b", "b1", s * 1_000, new Health.Counts((long) s * perSecond, s / 10, 0, 0, 0));
+            worse = worse != null ? worse : health.worse(CHANGED, REST, s * 1_000);
+        }
+        return worse;
+    }
+
+    @Test
+    public void membersThatDoWorseForSecondsAreFoundAndOneBadSecondIsNot() {
+        String worse = after(10, 0, 10, 50);
+        assertTrue(worse, worse.matches("not in time: 2[0-9]\\.[0-9]% of [0-9]+ in changed members, [01]\\.[0-9]% of [0-9]+ in the rest"));
+        assertNull("one bad second", after(25, 12, 13, 50));
+        assertNull("too few to tell", after(10, 0, 10, 5));
+        assertNotNull("and later, of more", after(60, 0, 60, 10));
+    }
+
+    @Test
+    public void aRestartedMemberBeginsAnew() {
+        Health health = new Health();
+        for (int s = 0; s < 30; s++) {
+            health.heard("a", "a1", s * 1_000, new Health.Counts(s * 50, s * 50, 0, 0, 0));
+            health.heard("b", "b1", s * 1_000, new Health.Counts(s * 50, 0, 0, 0, 0));
+        }
+        for (int s = 30; s < 60; s++) {
+            health.heard("a", "a2", s * 1_000, new Health.Counts((s - 30) * 50, 0, 0, 0, 0));
+            health.heard("b", "b1", s * 1_000, new Health.Counts(s * 50, 0, 0, 0, 0));
+            assertNull(health.worse(CHANGED, REST, s * 1_000));
+        }
+    }
+
+    @Test
+    public void aMajorityOfTheStoresVotersStays() {
+        Map<String, Fleet.Value> values = new java.util.TreeMap<>();
+        values.put(Fleet.POLICY, new Fleet.Value("brokers_out=3 apart_ms=0", 1));
+        for (String name : new String[] {"a", "b", "c", "d", "e"}) {
+            values.put(Fleet.BOOT + name, new Fleet.Value("boot=" + name + "1 session=s zone=z", 2));
+            values.put(Fleet.STATE + name, new Fleet.Value("incarnation=2 state=" + (name.equals("b") ? "LAPSED" : "SERVING"), 3));
+        }
+        Permits permits = new Permits();
+        Permits.Facts facts = new Permits.Facts(null, new Permits.Shards(0, 0, 0), Set.of("a", "b", "c"), 1_000);
+        assertEquals("a votes in the store, and 1 of 3 voters would be left, 2 are needed",
+                permits.grant(new Fleet(values), facts, Kind.BROKER, "a", "operator", "").refusal());
+        assertNotNull(permits.grant(new Fleet(values), facts, Kind.BROKER, "d", "operator", "").write());
+    }
+}
