--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -108,6 +108,20 @@
         history.add(name, "wake", "");
     }
 
+    /** Memory and CPU time of the process, where the system tells. */
+    String cost() {
+        String rss = "?";
+        try {
+            rss = java.nio.file.Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream().filter(l -> l.startsWith("VmRSS:"))
+                    .map(l -> l.replaceAll("[^0-9]", "")).findFirst().orElse("?");
+        } catch (IOException e) {
+            rss = "?"; // not this system's way
+        }
+        long cpu = process.info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(-1L);
+        long up = process.info().startInstant().map(i -> java.time.Duration.between(i, java.time.Instant.now()).toMillis()).orElse(-1L);
+        return "rss_kb=" + rss + " cpu_ms=" + cpu + " up_ms=" + up;
+    }
+
     boolean paused() {
         return paused;
     }
--- a/src/main/java/reeldeal/drill/Check.java
+++ b/src/main/java/reeldeal/drill/Check.java
@@ -86,7 +86,10 @@
             }
         }
         open.values().forEach(a -> broken.add("never answered: " + a.rest()));
-        figures.put("queries", asked + " asked, " + whole + " served whole, " + refused + " refused, " + lost
+        long nobody = events.stream().filter(e -> e.what().equals("nobody")).count();
+        figures.put("share of all that clients wanted to ask that was served whole", String.format(java.util.Locale.ROOT, "%.4f",
+                (double) whole / Math.max(1, asked + nobody)));
+        figures.put("queries", nobody + " found no broker, " + asked + " asked, " + whole + " served whole, " + refused + " refused, " + lost
                 + " lost with a broker that was killed or paused");
         figures.put("longest answer of a broker that was neither", worst + " ms");
     }
@@ -259,6 +262,7 @@
         if (begin != null && end != null) {
             figures.put("the release took", (end.at() - begin.at()) + " ms");
         }
+        events.stream().filter(e -> e.what().equals("cost")).forEach(e -> figures.put("cost of " + e.who(), e.rest()));
         events.stream().filter(e -> e.what().equals("frames")).forEach(e -> figures.put("frames between nodes", e.rest()));
     }
 }
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -383,6 +383,7 @@
         });
         history.add("drill", "frames", frames[0] + " passed, " + frames[1] + " dropped, " + frames[2] + " delayed, " + frames[3] + " doubled");
         for (Broker b : brokers.values()) {
+            history.add(b.name, "cost", (voters.contains(b.name) ? "voter " : "learner ") + b.cost());
             b.close();
         }
         Path longest = null;
--- a/src/main/java/reeldeal/drill/Load.java
+++ b/src/main/java/reeldeal/drill/Load.java
@@ -77,7 +77,9 @@
             long began = System.nanoTime();
             int n = next.incrementAndGet();
             List<Broker> up = brokers.stream().filter(b -> healthy.getOrDefault(b.name, false)).toList();
-            if (!up.isEmpty()) {
+            if (up.isEmpty()) {
+                history.add(client, "nobody", "");
+            } else {
                 one(client, n, up.get(n % up.size()), open);
             }
             Thread.sleep(Math.max(1, everyMs - (System.nanoTime() - began) / 1_000_000));
@@ -104,7 +106,8 @@
                 socket.setSoTimeout(TIMEOUT_MS);
             }
         } catch (IOException e) {
-            return; // nobody took it: nothing was asked
+            history.add(client, "nobody", "to=" + to.name);
+            return;
         }
         history.add(client, "ask", "id=" + id + " to=" + to.name);
         try {
--- a/src/test/java/reeldeal/fleet/FleetSimulation.java
+++ b/src/test/java/reeldeal/fleet/FleetSimulation.java
@@ -205,7 +205,7 @@
                 long term = leaderSince;
                 submit(write, cut || leader != id, () -> leader == id && leaderSince == term, known -> coordinator.ended());
             }
-            after(100 + rng.nextInt(50), this::tick);
+            after(calm ? 10 : 100 + rng.nextInt(50), this::tick);
         }
 
         void beat(Process from, Self.Beat beat) {
@@ -264,6 +264,7 @@
     private final Kind kind;
     private final int size;
     private final int trouble;
+    private final boolean calm;
     private int leader = -1;
     private long leaderSince;
     private long now;
@@ -276,14 +277,40 @@
     /** How releases ended, for a count of what the seeds cover. */
     String end = "";
     int commits;
+    long begun;
+
+    /** For how long the release took, in virtual ms. */
+    long took() {
+        return now - begun;
+    }
+
+    /** Plays until then. */
+    void playTo(long at) {
+        while (!events.isEmpty() && events.peek().at() <= at) {
+            Event e = events.poll();
+            now = e.at();
+            e.run().run();
+        }
+    }
+
+    boolean done() {
+        return latest.release() != null && latest.release().progress() == Progress.DONE;
+    }
 
     FleetSimulation(long seed, Parts parts) {
+        this(seed, parts, 0, 0);
+    }
+
+    /** A fleet of so many brokers without trouble, of which so many may be out at once; 0 of them only stand. */
+    FleetSimulation(long seed, Parts parts, int brokers, int mostOut) {
         this.parts = parts;
+        calm = brokers > 0;
         rng = RandomSource.XO_SHI_RO_256_PP.create(seed);
-        kind = rng.nextInt(3) == 0 ? Kind.SEARCHER : Kind.BROKER;
-        size = rng.nextInt(40) == 0 ? 30 + rng.nextInt(31) : 5 + rng.nextInt(8);
-        trouble = rng.nextInt(4) * 3;
-        wrongOnce = kind == Kind.BROKER && rng.nextInt(4) == 0;
+        kind = rng.nextInt(3) == 0 && !calm ? Kind.SEARCHER : Kind.BROKER;
+        int drawn = rng.nextInt(40) == 0 ? 30 + rng.nextInt(31) : 5 + rng.nextInt(8);
+        size = calm ? brokers : drawn;
+        trouble = calm ? 0 : rng.nextInt(4) * 3;
+        wrongOnce = !calm && kind == Kind.BROKER && rng.nextInt(4) == 0;
         for (int i = 0; i < 12; i++) {
             searchers.put("s" + i, new Searcher(i));
         }
@@ -291,14 +318,16 @@
             leads.add(new Lead(i));
         }
         elect();
-        commit(Write.because("policy").put(Fleet.POLICY, new Words().with("brokers_out", rng.nextBoolean() ? "1" : "25%")
-                .with("searchers_out", rng.nextBoolean() ? "2" : "25%").with("apart_ms", rng.nextInt(3) * 300)));
+        commit(Write.because("policy").put(Fleet.POLICY, new Words().with("brokers_out", calm ? String.valueOf(mostOut) : rng.nextBoolean() ? "1" : "25%")
+                .with("searchers_out", rng.nextBoolean() ? "2" : "25%").with("apart_ms", calm ? 0 : rng.nextInt(3) * 300)));
         for (int i = 0; i < size; i++) {
             int n = i;
             after(rng.nextInt(300), () -> startAnew("b" + n));
         }
         list();
-        after(4_000, this::plan);
+        if (!calm || mostOut > 0) {
+            after(4_000, this::plan);
+        }
         after(5_000 + rng.nextInt(2_000), this::trouble);
         after(CHAOS, this::heal);
     }
@@ -544,9 +573,12 @@
         }
         plans++;
         Fleet.Release r = new Fleet.Release("r" + plans, kind, "config", "v1", false, Progress.PLANNED, "", 500, 20_000, 0);
-        commit(Releases.plan(latest, r, names, List.of(1, 2, 4)));
+        commit(Releases.plan(latest, r, names, calm ? List.of(names.size()) : List.of(1, 2, 4)));
         commit(Releases.by(latest, Progress.RUNNING, "operator"));
-        after(500 + rng.nextInt(20_000), this::operator);
+        begun = now;
+        if (!calm) {
+            after(500 + rng.nextInt(20_000), this::operator);
+        }
     }
 
     /** An operator's word, decided on what was read a moment before. */
--- a/src/test/java/reeldeal/fleet/FleetSimulationTest.java
+++ b/src/test/java/reeldeal/fleet/FleetSimulationTest.java
@@ -219,6 +219,23 @@
             });
             return;
         }
+        if (args[0].equals("figures")) {
+            for (int members : new int[] {10, 100, 300}) {
+                FleetSimulation idle = new FleetSimulation(1, new FleetSimulation.Parts(), members, 0);
+                idle.playTo(30_000);
+                int before = idle.commits;
+                idle.playTo(90_000);
+                System.out.println(members + " idle members: " + before + " commits in the first 30 s, " + (idle.commits - before) + " in the next 60 s");
+            }
+            for (int[] of : new int[][] {{12, 1}, {12, 3}, {100, 1}, {100, 5}, {100, 20}}) {
+                FleetSimulation sim = new FleetSimulation(1, new FleetSimulation.Parts(), of[0], of[1]);
+                while (!sim.done()) {
+                    sim.playTo(sim.begun + sim.took() + 100);
+                }
+                System.out.println("release of " + of[0] + " with " + of[1] + " out at most: " + sim.took() + " ms");
+            }
+            return;
+        }
         if (args[0].equals("broken")) {
             broken().forEach((how, parts) -> {
                 Object[] found = find(parts, Integer.parseInt(args[1]));
