--- a/src/main/java/reeldeal/cli/DrillCommand.java
+++ b/src/main/java/reeldeal/cli/DrillCommand.java
@@ -33,6 +33,21 @@
     @Option(names = "--jar", paramLabel = "FILE", description = "The program to start (default: this one).")
     private Path jar;
 
+    @Option(names = "--from", paramLabel = "FILE", description = "The fleet starts with this program, and the release brings the other.")
+    private Path from;
+
+    private static Path ownJar() throws Commands.Failed {
+        try {
+            Path own = Path.of(Drill.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            if (!own.toString().endsWith(".jar")) {
+                throw new Commands.Failed(Commands.BAD_INPUT, "--from: needs this program as a jar");
+            }
+            return own;
+        } catch (java.net.URISyntaxException e) {
+            throw new Commands.Failed(Commands.BAD_INPUT, "--from: " + e.getMessage());
+        }
+    }
+
     @Override
     public Integer call() throws Exception {
         Scenario play;
@@ -47,7 +62,7 @@
             if (java.nio.file.Files.exists(folder)) {
                 throw new Commands.Failed(Commands.BAD_INPUT, "--out: " + folder + " is there already");
             }
-            try (Drill drill = new Drill(play, s, folder, jar)) {
+            try (Drill drill = new Drill(play, s, folder, from != null && jar == null ? ownJar() : jar, from)) {
                 Drill.Result result = drill.play();
                 broken += result.broken().isEmpty() ? 0 : 1;
                 spec.commandLine().getOut().println(play.name() + " seed " + s + ": " + (result.broken().isEmpty() ? "all rules hold" : result.broken())
--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -15,7 +15,7 @@
     final String name;
     final int port;
     final int storePort;
-    private final List<String> command;
+    private List<String> command;
     private final Map<String, String> environment;
     private final History history;
     private Process process;
@@ -28,6 +28,11 @@
         this.storePort = storePort;
         this.environment = environment;
         this.history = history;
+        install(program);
+    }
+
+    /** Which program starts from now on. */
+    synchronized void install(List<String> program) {
         command = new ArrayList<>(program);
         command.add("serve");
     }
