Pass zone updates on to the node that writes; drill bad configurations and skewed clocks

Change: UpdateRelay sends an update as it came to the writer, once, and brings its answer back, SERVFAIL where none comes in 3 s; scenarios worse and clocks; the store's messages between nodes have topics.

--- a/src/main/java/reeldeal/config/Scenario.java
+++ b/src/main/java/reeldeal/config/Scenario.java
@@ -21,14 +21,17 @@
  * @param searchers stand-ins, spread over four cells
  * @param perSecond queries a second over all clients
  * @param policy what the fleet's policy is set to
- * @param release whether a configuration is released; with {@code waves}, {@code settleMs} and {@code stepMs}
+ * @param release whether a configuration is released, in which {@code find} stands replaced; with {@code waves},
+ *     {@code settleMs} and {@code stepMs}
+ * @param skewPct by which processes' steady clocks run faster or slower at the most
+ * @param slowDiskMs by which each write to the first voter's folder takes longer
  * @param onHalt what the operator orders once it has halted and the faults are over: {@code back} or {@code resume}
  * @param dropPct, delayPct, doublePct of frames between nodes, for as long as faults are on
  * @param faultsMs for how long faults go on, from the beginning of the release
  * @param actions what is done when, in ms from the beginning of the release
  */
 public record Scenario(String name, int voters, int brokers, int searchers, int perSecond, Map<String, String> policy, boolean release,
-        String waves, long settleMs, long stepMs, String onHalt, int dropPct, int delayPct, int doublePct, long faultsMs,
+        String find, String replace, String waves, long settleMs, long stepMs, String onHalt, int skewPct, int slowDiskMs, int dropPct, int delayPct, int doublePct, long faultsMs,
         List<Action> actions) {
 
     /**
@@ -39,7 +42,8 @@
     public record Action(long atMs, String verb, String who, long forMs) { }
 
     private static final Set<String> KNOWN = Set.of("name", "voters", "brokers", "searchers", "per_second", "release", "waves", "settle_ms",
-            "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count");
+            "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count", "find", "replace",
+            "skew_pct", "slow_disk_ms");
     private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate");
 
     /** Reads a scenario; throws Invalid naming the place of what is wrong. */
@@ -78,8 +82,9 @@
         return new Scenario(v.getOrDefault("name", file.getFileName().toString()), (int) number(file, v, "voters", 3, 1, 7),
                 (int) number(file, v, "brokers", 2, 0, 60), (int) number(file, v, "searchers", 12, 4, 100),
                 (int) number(file, v, "per_second", 40, 1, 2_000), policy, v.getOrDefault("release", "true").equals("true"),
-                v.getOrDefault("waves", "1,2,4"), number(file, v, "settle_ms", 1_000, 0, 600_000),
-                number(file, v, "step_ms", 30_000, 1_000, 600_000), onHalt, (int) number(file, v, "drop_pct", 0, 0, 90),
+                v.getOrDefault("find", "\"MostHeld\": 400"), v.getOrDefault("replace", "\"MostHeld\": 390"), v.getOrDefault("waves", "1,2,4"), number(file, v, "settle_ms", 1_000, 0, 600_000),
+                number(file, v, "step_ms", 30_000, 1_000, 600_000), onHalt, (int) number(file, v, "skew_pct", 0, 0, 50),
+                (int) number(file, v, "slow_disk_ms", 0, 0, 5_000), (int) number(file, v, "drop_pct", 0, 0, 90),
                 (int) number(file, v, "delay_pct", 0, 0, 90), (int) number(file, v, "double_pct", 0, 0, 90),
                 number(file, v, "faults_ms", 30_000, 0, 600_000), List.copyOf(actions));
     }
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -79,7 +79,7 @@
             String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
             Files.writeString(folder.resolve("broker.json"), text);
             oldVersion = ConfigVersion.of(text);
-            newText = text.replace("\"MostHeld\": 400", "\"MostHeld\": 390");
+            newText = text.replace(scenario.find(), scenario.replace());
         }
         nodes(from != null ? from : jar);
     }
@@ -105,7 +105,10 @@
                     + "},\"dns\":{\"listen\":\"127.0.0.1:" + free.get(2 * names.size() + i) + "\",\"origin\":\"drill.test\",\"zone_file\":\""
                     + folder.resolve("zone") + "\",\"members\":{\"flap_limit\":100000}},\"fleet\":{\"zone\":\"" + (i % 2 == 0 ? "a" : "b")
                     + "\",\"term_ms\":" + TERM_MS + ",\"exit_wait_ms\":3000}}");
-            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i), Broker.program(jar), Map.of("LB_CONFIG",
+            int slow = i == 0 ? scenario.slowDiskMs() : 0;
+            double rate = 1 + scenario.skewPct() / 100.0 * (2 * random.nextDouble() - 1);
+            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i), Broker.program(jar), Map.of("JDK_JAVA_OPTIONS",
+                    "-Dreeldeal.drill.disk_ms=" + slow + " -Dreeldeal.drill.clock_rate=" + rate, "LB_CONFIG",
                     folder.resolve("broker.json").toString(), "LB_NAME", name, "LB_LISTEN", "127.0.0.1:" + free.get(names.size() + i),
                     "REELDEAL_STORE", file.toString()), history));
         }
@@ -359,10 +362,12 @@
 
     private void act(Scenario.Action a) throws Exception {
         if (a.verb().equals("order")) {
-            boolean done = order(a.who());
-            Words words = Words.of(a.who());
-            if (done && a.who().startsWith("fleet drain") || done && a.who().startsWith("fleet undrain")) {
-                history.add(words.get("name").split("\\.")[0], a.who().startsWith("fleet drain") ? "drained" : "undrained", "");
+            String name = Words.of(a.who()).get("name").split("\\.")[0];
+            if (a.who().startsWith("fleet undrain")) {
+                history.add(name, "undrained", ""); // from the moment of the order parts may come again
+            }
+            if (order(a.who()) && a.who().startsWith("fleet drain")) {
+                history.add(name, "drained", "");
             }
             return;
         }
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -27,6 +27,9 @@
 
 /** One node's part in the fleet: its own membership, and the fleet's matters while it leads. Runs on the state loop. */
 public final class Muster {
+    private static final char TOPIC = 'F';
+    /** By which a drill lets this process's steady clock run faster or slower. */
+    private static final double CLOCK_RATE = Double.parseDouble(System.getProperty("reeldeal.drill.clock_rate", "1"));
     private static final int TICK_MS = 100;
     private static final int ANSWER_MS = 50;
     private static final int GONE_MS = 1_500;
@@ -92,7 +95,7 @@
                 viewSoon();
             }
         });
-        store.onTold(this::told);
+        store.onTold(TOPIC, this::told);
         store.onAsk("fleet", this::asked);
         store.whenWriting(() -> {
             view();
@@ -103,7 +106,7 @@
     }
 
     private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
+        return (long) (System.nanoTime() * CLOCK_RATE / 1e6);
     }
 
     // ---- the log ----
@@ -207,7 +210,7 @@
         String leader = store.leader();
         if (leader != null) {
             Health.Counts c = host.counts();
-            store.tell(leader, new Words().with("beat", beat.incarnation()).with("sent", beat.sentAt()).with("seen", beat.seen())
+            store.tell(leader, TOPIC, new Words().with("beat", beat.incarnation()).with("sent", beat.sentAt()).with("seen", beat.seen())
                     .with("asked", c.asked()).with("late", c.late()).with("refused", c.refused()).with("attempts", c.attempts())
                     .with("failed", c.failed()).with("ejected", host.ejected().stream().limit(MOST_EJECTED)
                     .collect(java.util.stream.Collectors.joining(","))).toString().getBytes(StandardCharsets.UTF_8));
@@ -222,7 +225,7 @@
                     words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)), Set.of(words.get("ejected").split(",")))) {
                 byte[] answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0)).toString()
                         .getBytes(StandardCharsets.UTF_8);
-                unanswered.add(() -> store.tell(from, answer));
+                unanswered.add(() -> store.tell(from, TOPIC, answer));
                 answerSoon();
             }
         } else if (!words.get("held").isEmpty()) {
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -36,6 +36,8 @@
     /** A node's address, for those whose files do not name it. */
     public static final String NODE_KEY = "node/";
     private static final int TICK_MS = 50;
+    /** By which a drill makes each write to this node's folder slower. */
+    private static final int SLOW_DISK_MS = Integer.getInteger("reeldeal.drill.disk_ms", 0);
     private static final int WRITE_TIMEOUT_MS = 2_000;
     private static final int MAX_WRITES = 1_000;
     private static final int MAX_COMMAND = 512 * 1024;
@@ -97,7 +99,7 @@
     private final List<Runnable> whenCurrent = new ArrayList<>();
     private final List<Consumer<State>> whenOld = new ArrayList<>();
     private final Map<String, BiConsumer<String, Reply>> asked = new HashMap<>();
-    private BiConsumer<String, byte[]> told = (from, bytes) -> { };
+    private final Map<Character, BiConsumer<String, byte[]>> told = new HashMap<>();
     private State old;
     private boolean wasCurrent;
     private long logBytes;
@@ -417,7 +419,7 @@
                 pump();
             }
         } else if (side instanceof Side.Told m && m.to().equals(config.node()) && links.knows(m.from())) {
-            told.accept(m.from(), m.bytes());
+            toldBy(m.from(), m.bytes());
         } else if (side instanceof Side.Ask m) {
             String first = m.text().split(" ", 2)[0];
             BiConsumer<String, Reply> handler = asked.get(first);
@@ -473,18 +475,28 @@
         asked.put(word, handler);
     }
 
-    /** Sends bytes to another node, or to this one; false where they surely do not arrive. */
-    public boolean tell(String node, byte[] bytes) {
+    /** Sends bytes on a topic to another node, or to this one; false where they surely do not arrive. */
+    public boolean tell(String node, char topic, byte[] bytes) {
+        byte[] all = new byte[1 + bytes.length];
+        all[0] = (byte) topic;
+        System.arraycopy(bytes, 0, all, 1, bytes.length);
         if (node.equals(config.node())) {
-            group.next().execute(() -> told.accept(node, bytes));
+            group.next().execute(() -> toldBy(node, all));
             return true;
         }
-        return links.send(node, new Side.Told(config.node(), node, bytes));
+        return links.send(node, new Side.Told(config.node(), node, all));
     }
 
-    /** Takes what other nodes tell; one taker. */
-    public void onTold(BiConsumer<String, byte[]> taker) {
-        told = taker;
+    private void toldBy(String node, byte[] all) {
+        BiConsumer<String, byte[]> taker = all.length == 0 ? null : told.get((char) all[0]);
+        if (taker != null) {
+            taker.accept(node, java.util.Arrays.copyOfRange(all, 1, all.length));
+        }
+    }
+
+    /** Takes what other nodes tell on a topic; one taker each. */
+    public void onTold(char topic, BiConsumer<String, byte[]> taker) {
+        told.put(topic, taker);
     }
 
     /** Runs this once a majority has confirmed, after now, that this node leads; never where that fails. */
@@ -654,6 +666,9 @@
         taken.clear();
         disk.execute(() -> {
             try {
+                if (SLOW_DISK_MS > 0) {
+                    Thread.sleep(SLOW_DISK_MS);
+                }
                 folder.write(batch);
                 long bytes = folder.size()[0];
                 group.next().execute(() -> {
@@ -663,7 +678,7 @@
                     step();
                     flush();
                 });
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | InterruptedException e) {
                 group.next().execute(() -> failDisk(e));
             }
         });
--- a/src/main/java/reeldeal/zones/ZoneService.java
+++ b/src/main/java/reeldeal/zones/ZoneService.java
@@ -58,6 +58,7 @@
     private final List<Follower> followers = new ArrayList<>();
     private final Notifier notifier;
     private final PeerLink.Connector connector;
+    private final UpdateRelay relay;
     private int transfers;
     private boolean publishing;
     private boolean restored;
@@ -78,6 +79,17 @@
         for (ZonesConfig.Entry entry : config.zones()) {
             zones.put(entry.origin(), new HostedZone(entry, store, loop, log));
         }
+        relay = new UpdateRelay(store, loop, (message, from, answer) -> take(message, from, true, new Asker() {
+            @Override
+            public void answer(byte[] bytes) {
+                answer.accept(bytes);
+            }
+
+            @Override
+            public void stream(TransferOut transfer, Runnable ended) {
+                ended.run(); // only updates are passed on
+            }
+        }));
         store.onChange(this::committed);
         store.whenWriting(this::writing);
         store.whenCurrent(this::publish);
@@ -248,7 +260,7 @@
         }
         switch (message.opcode) {
             case Message.QUERY -> query(message, responder, from.getAddress(), tcp, asker);
-            case Message.UPDATE -> update(message, responder, from.getAddress(), asker);
+            case Message.UPDATE -> update(message, responder, from, asker, bytes);
             case Message.NOTIFY -> notified(message, responder, from.getAddress(), asker);
             default -> asker.answer(responder.code(Rcode.NOTIMP));
         }
@@ -318,7 +330,8 @@
         }
     }
 
-    private void update(Message message, Responder responder, InetAddress from, Asker asker) {
+    private void update(Message message, Responder responder, InetSocketAddress sender, Asker asker, byte[] bytes) {
+        InetAddress from = sender.getAddress();
         if (message.questions.size() != 1 || message.questions.get(0).type() != Rr.SOA) {
             asker.answer(responder.code(Rcode.FORMERR));
             return;
@@ -328,8 +341,13 @@
             asker.answer(responder.code(Rcode.NOTAUTH));
             return;
         }
-        String refusal = zone.entry.secondary() ? "it is a secondary zone" : !store.isWriter() ? "another node writes"
-                : refusal(zone, message, responder.signer(), from);
+        String refusal = zone.entry.secondary() ? "it is a secondary zone" : refusal(zone, message, responder.signer(), from);
+        if (refusal == null && !store.isWriter()) {
+            if (relay.pass(bytes, sender, answer -> asker.answer(answer != null ? answer : responder.code(Rcode.SERVFAIL)))) {
+                return;
+            }
+            refusal = "another node writes, and is not in reach";
+        }
         if (refusal != null) {
             complain("dns: " + zone.entry.origin() + ": update from " + from.getHostAddress()
                     + (responder.signer() == null ? "" : " signed by " + responder.signer()) + " refused: " + refusal);
