--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -18,6 +18,7 @@
     private List<String> command;
     private final Map<String, String> environment;
     private final History history;
+    private int mostKb;
     private Process process;
     private volatile boolean serves;
     private volatile boolean paused;
@@ -31,6 +32,15 @@
         install(program);
     }
 
+    /** From its next start on no file of its folder grows beyond this, as on a full disk; 0 for no bound. */
+    void bound(int kb) {
+        mostKb = kb;
+    }
+
+    boolean bounded() {
+        return mostKb > 0;
+    }
+
     /** Which program starts from now on. */
     synchronized void install(List<String> program) {
         command = new ArrayList<>(program);
@@ -50,7 +60,12 @@
         if (process != null && process.isAlive()) {
             return;
         }
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectInput(new File("/dev/null"));
+        List<String> words = new ArrayList<>();
+        if (mostKb > 0) {
+            words.addAll(List.of("bash", "-c", "ulimit -f " + mostKb + "; exec \"$@\"", "bash"));
+        }
+        words.addAll(command);
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true).redirectInput(new File("/dev/null"));
         builder.environment().keySet().removeIf(k -> k.startsWith("LB_") || k.startsWith("REELDEAL_"));
         builder.environment().putAll(environment);
         history.add(name, "start", "");
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -307,6 +307,10 @@
                 if (b.paused()) {
                     b.wake();
                 }
+                if (b.bounded()) {
+                    b.bound(0); // the operator makes room and starts it again
+                    b.kill();
+                }
                 cut(b.name, false, false);
                 history.add(b.name, "heal", "");
             }
@@ -378,6 +382,17 @@
                     restartAt.put(b.name, history.now() + a.forMs());
                 }
                 case "terminate" -> b.terminate();
+                case "fill" -> {
+                    long kb = 1;
+                    try (java.util.stream.Stream<Path> files = Files.list(folder.resolve(b.name))) {
+                        kb = files.mapToLong(f -> f.toFile().length()).max().orElse(0) / 1_024 + 1;
+                    }
+                    history.add(b.name, "fill", "no file beyond " + kb + " KB");
+                    b.bound((int) kb);
+                    b.kill();
+                    restartAt.put(b.name, history.now());
+                    healAt.put(b.name, history.now() + a.forMs());
+                }
                 case "pause" -> {
                     b.pause();
                     healAt.put(b.name, history.now() + a.forMs());
