--- a/src/main/java/reeldeal/config/Scenario.java
+++ b/src/main/java/reeldeal/config/Scenario.java
@@ -37,6 +37,7 @@
     /**
      * One thing that is done: {@code kill}, {@code pause}, {@code cut} or {@code deafen} (it sends and does not receive)
      * of {@code who}, for so long, {@code fill} (it is started again on a folder that is full), or {@code order} with the words of an operator. {@code who} is a node, {@code leader},
+     * {@code zone} sends an update to a node's zone service: {@code NODE add|delete SEARCHER}. {@code who} may be
      * {@code voter}, {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), or {@code third}.
      */
     public record Action(long atMs, String verb, String who, long forMs) { }
@@ -44,7 +45,7 @@
     private static final Set<String> KNOWN = Set.of("name", "voters", "brokers", "searchers", "per_second", "release", "waves", "settle_ms",
             "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count", "find", "replace",
             "skew_pct", "slow_disk_ms");
-    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill");
+    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill", "zone");
 
     /** Reads a scenario; throws Invalid naming the place of what is wrong. */
     public static Scenario read(Path file) throws Invalid {
--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -15,6 +15,7 @@
     final String name;
     final int port;
     final int storePort;
+    final int dnsPort;
     private List<String> command;
     private final Map<String, String> environment;
     private final History history;
@@ -23,10 +24,11 @@
     private volatile boolean serves;
     private volatile boolean paused;
 
-    Broker(String name, int port, int storePort, List<String> program, Map<String, String> environment, History history) {
+    Broker(String name, int port, int storePort, int dnsPort, List<String> program, Map<String, String> environment, History history) {
         this.name = name;
         this.port = port;
         this.storePort = storePort;
+        this.dnsPort = dnsPort;
         this.environment = environment;
         this.history = history;
         install(program);
@@ -89,6 +91,19 @@
         });
     }
 
+    /** Runs a command of the program, and says whether it ended with 0. */
+    static boolean command(List<String> program, List<String> words, History history) throws IOException, InterruptedException {
+        List<String> all = new ArrayList<>(program);
+        all.addAll(words);
+        Process process = new ProcessBuilder(all).redirectErrorStream(true).redirectInput(new File("/dev/null")).start();
+        try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                history.add("operator", "told", line);
+            }
+        }
+        return process.waitFor() == 0;
+    }
+
     boolean alive() {
         return process != null && process.isAlive();
     }
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -107,7 +107,8 @@
                     + "\",\"term_ms\":" + TERM_MS + ",\"exit_wait_ms\":3000}}");
             int slow = i == 0 ? scenario.slowDiskMs() : 0;
             double rate = 1 + scenario.skewPct() / 100.0 * (2 * random.nextDouble() - 1);
-            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i), Broker.program(jar), Map.of("JDK_JAVA_OPTIONS",
+            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i),
+                    free.get(2 * names.size() + i), Broker.program(jar), Map.of("JDK_JAVA_OPTIONS",
                     "-Dreeldeal.drill.disk_ms=" + slow + " -Dreeldeal.drill.clock_rate=" + rate, "LB_CONFIG",
                     folder.resolve("broker.json").toString(), "LB_NAME", name, "LB_LISTEN", "127.0.0.1:" + free.get(names.size() + i),
                     "REELDEAL_STORE", file.toString()), history));
@@ -375,6 +376,10 @@
             }
             return;
         }
+        if (a.verb().equals("zone")) {
+            zone(a.who().split(" "));
+            return;
+        }
         for (Broker b : who(a.who())) {
             switch (a.verb()) {
                 case "kill" -> {
@@ -406,6 +411,20 @@
         }
     }
 
+    /** An update of the zone, at whichever node: {@code NODE add|delete SEARCHER}. */
+    private void zone(String[] words) throws Exception {
+        String record = "_searcher._tcp " + (words[1].equals("add") ? "60 " : "") + "SRV 0 0 "
+                + searchers.get(Integer.parseInt(words[2].substring(1)) - 1).port() + " " + words[2];
+        if (words[1].equals("add")) {
+            history.add(words[2], "undrained", "");
+        }
+        history.add("operator", "order", "zone update at " + words[0] + ": " + words[1] + " " + record);
+        if (Broker.command(Broker.program(jar), List.of("zone", "update", "-s", "127.0.0.1:" + brokers.get(words[0]).dnsPort, "drill.test",
+                "--" + words[1], record), history) && words[1].equals("delete")) {
+            history.add(words[2], "drained", "");
+        }
+    }
+
     private void finish() throws Exception {
         List<Words> members = new ArrayList<>();
         until(START_MS, "all serve at the end", () -> {
