Give each drill a range of ports of its own

Seen: of 30 drills, four at a time, one never began: two processes found their ports taken ('Address already in use'), for as long as it ran. Checked: the history shows the same ports in another drill of that minute; ruled out was the store, which was not reached for want of a majority. At fault: Drill.ports, which probed from the process number on and let go of what it had found. Change: a drill holds the first port of a range for as long as it lasts; another takes the next range.

--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -113,16 +113,16 @@
         return serves && alive() && !paused;
     }
 
-    void kill() throws IOException, InterruptedException {
+    void kill() throws InterruptedException {
         history.add(name, "kill", "");
         serves = false;
-        signal("KILL"); // the JVM's own way to end a process closes what it has yet to say
+        process.toHandle().destroyForcibly(); // the process's own method closes what it has yet to say
         process.waitFor();
     }
 
-    void terminate() throws IOException, InterruptedException {
+    void terminate() {
         history.add(name, "terminate", "");
-        signal("TERM");
+        process.toHandle().destroy();
     }
 
     private void signal(String signal) throws IOException, InterruptedException {
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -31,6 +31,9 @@
     private static final int END_MS = 240_000;
     private static final int LOOK_MS = 200;
     private static final int TERM_MS = 3_000;
+    private static final int FIRST_PORT = 10_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int RANGE = 256;
 
     /** How it ended: what was broken, and the figures. */
     public record Result(List<String> broken, Map<String, String> figures, Path folder) { }
@@ -50,6 +53,7 @@
     private String progress = "";
     private final Path jar;
     private final Path from;
+    private ServerSocket guard;
     private String oldProgram = "";
     private Load load;
 
@@ -115,22 +119,29 @@
         }
     }
 
-    private static List<Integer> ports(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
+    /** Free ports out of a range whose first stays bound for as long as the drill lasts: two drills never share one. */
+    private List<Integer> ports(int count) throws IOException {
         // Below the ports that connections are given by themselves, or a restarted broker may find its own taken.
-        for (int port = 10_000 + (int) (ProcessHandle.current().pid() * 37 % 15_000); ports.size() < count; port++) {
+        for (int base = FIRST_PORT; base < LAST_PORT; base += RANGE) {
             try {
-                held.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
-                ports.add(port);
+                guard = new ServerSocket(base, 1, InetAddress.getLoopbackAddress());
             } catch (IOException taken) {
                 continue;
             }
+            List<Integer> ports = new ArrayList<>();
+            for (int port = base + 1; port < base + RANGE && ports.size() < count; port++) {
+                try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                    ports.add(free.getLocalPort());
+                } catch (IOException taken) {
+                    continue;
+                }
+            }
+            if (ports.size() == count) {
+                return ports;
+            }
+            guard.close();
         }
-        for (ServerSocket s : held) {
-            s.close();
-        }
-        return ports;
+        throw new IOException("no " + count + " free ports in a row below " + LAST_PORT);
     }
 
     // ---- asking ----
@@ -477,6 +488,7 @@
         for (StandIn s : searchers) {
             s.close();
         }
+        guard.close();
         history.close();
     }
 }
