Judge a refused write of the fleet's at the next tick; bound the wait for an end

Need, seen on a last read: a write that the store refuses at once (a quota, no leadership any more) was decided and sent again in the same turn, so that a leader or a broker could spin on it; SIGTERM before the fleet's part had begun waited for ever. Change: Muster.coordinate and Self.ended wait for the next tick, or 0.5 s, after whatever was not committed; terminate waits for exit_wait_ms and 2.5 s at the most.

--- a/src/main/java/reeldeal/fleet/members/Self.java
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -112,10 +112,10 @@
         tick(now);
     }
 
-    /** A write has ended; {@code known} whether it is known how. */
-    public void ended(long now, boolean known) {
+    /** A write has ended; one that was not done, or may not have been, is judged again after a while. */
+    public void ended(long now, boolean done) {
         writing = false;
-        writeAgainAt = now + (known ? 0 : times.againMs());
+        writeAgainAt = now + (done ? 0 : times.againMs());
         tick(now);
     }
 
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -71,6 +71,7 @@
     private final Coordinator coordinator;
     private final List<Runnable> unanswered = new ArrayList<>();
     private final CountDownLatch exit = new CountDownLatch(1);
+    private final long exitMs;
     private Fleet fleet = new Fleet(Map.of());
     private boolean viewPlanned;
     private boolean answersPlanned;
@@ -85,6 +86,7 @@
         this.log = log;
         self = new Self(new Self.Who(store.node(), store.session(), store.session(), config.zone(), config.program(), configVersion),
                 config.times(), permits);
+        exitMs = config.times().exitWaitMs() + 5 * config.times().againMs();
         coordinator = new Coordinator(permits, new Releases(permits), new Leases(config.times().termMs()));
     }
 
@@ -152,19 +154,22 @@
     }
 
     private void coordinate(long now) {
-        if (!coordinator.leads()) {
+        if (!coordinator.leads() || !store.isWriter()) {
             return;
         }
         coordinator.searchers(host.searchers(), host.shards());
         Write write = coordinator.next(now);
         if (write != null) {
             store.write(new State.Command("", 0, expects(write), changes(write)), result -> {
-                if (result instanceof Store.Committed) {
+                boolean done = result instanceof Store.Committed;
+                if (done) {
                     log.accept("fleet: " + write.why());
                 }
                 loop.execute(() -> { // once the change has been told
                     coordinator.ended();
-                    coordinate(nowMs());
+                    if (done) {
+                        coordinate(nowMs()); // what was refused is judged again at the next tick, not at once for ever
+                    }
                 });
             });
         }
@@ -184,7 +189,7 @@
         for (Self.Act act : self.take()) {
             if (act instanceof Self.Put put) {
                 store.submit(expects(put.write()), changes(put.write()), result -> loop.execute(() -> {
-                    self.ended(nowMs(), !(result instanceof Store.Unknown));
+                    self.ended(nowMs(), result instanceof Store.Committed);
                     perform();
                 }));
             } else if (act instanceof Self.Beat beat) {
@@ -266,7 +271,7 @@
             self.terminate(nowMs());
             perform();
         });
-        exit.await();
+        exit.await(exitMs, TimeUnit.MILLISECONDS); // for a process that is told to end before it has begun
     }
 
     /** The process has drained and ends; not on the loop. */
--- a/src/test/java/reeldeal/consensus/SimulationTest.java
+++ b/src/test/java/reeldeal/consensus/SimulationTest.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntUnaryOperator;
 import org.junit.Test;
 
 /** The module on the simulator: whole, over a fixed set of seeds, and broken on purpose. */
