--- a/src/main/java/reeldeal/cli/NodeTarget.java
+++ b/src/main/java/reeldeal/cli/NodeTarget.java
@@ -44,7 +44,8 @@
         } catch (Config.Invalid e) {
             throw new Commands.Failed(Commands.BAD_INPUT, e.getMessage());
         } catch (IOException e) {
-            throw new Commands.Failed(Commands.REFUSED, "the node does not answer: " + e.getMessage());
+            throw new Commands.Failed(Commands.REFUSED, "the node does not answer: " + (e instanceof java.io.EOFException
+                    ? "it closed the connection; it, or the leader that it named, may run an earlier program" : e.getMessage()));
         }
     }
 
