--- a/src/main/java/reeldeal/fleet/members/Self.java
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -68,6 +68,7 @@
     private boolean exiting;
     private boolean exited;
     private boolean superseded;
+    private boolean left;
     private boolean incarnationEver;
     private boolean unplanned;
     private long lastSerial = -1;
@@ -152,7 +153,7 @@
     /** Whether its lease surely stands. */
     public boolean holds(long now) {
         Member me = me();
-        return me != null && me.live() && lease.stands(me.incarnation(), now);
+        return me != null && me.live() && !left && lease.stands(me.incarnation(), now);
     }
 
     /** Its incarnation, 0 while it has none. */
@@ -304,6 +305,7 @@
 
     /** What is written when the process has drained and ends. */
     public Write gone() {
+        left = true; // once this is in the log others may have its work: it does nothing more by its lease
         Member me = me();
         return me == null || !me.live() ? null : fleet.state(me, State.GONE, unplanned ? "unplanned" : "").put(PIN + who.session(), null);
     }
--- a/src/test/java/reeldeal/fleet/FleetSimulation.java
+++ b/src/test/java/reeldeal/fleet/FleetSimulation.java
@@ -76,7 +76,16 @@
 
     private record Event(long at, long order, Runnable run) { }
 
-    private final class Process {
+    /** What else processes do in this world, as the work that they have in hand. */
+    interface Extra {
+        void started(Process process);
+
+        void tick(Process process);
+
+        void committed();
+    }
+
+    final class Process {
         final String name;
         final String boot;
         final String config;
@@ -90,6 +99,7 @@
         boolean serving;
         String exiting;
         long seen;
+        Fleet own = new Fleet(Map.of());
 
         Process(String name) {
             this.name = name;
@@ -102,6 +112,9 @@
                     new Self.Times(TERM, 500, 2_000, 300), parts.permits());
             after(50 + rng.nextInt(400), () -> run(() -> {
                 serving = true;
+                if (extra != null) {
+                    extra.started(this);
+                }
                 everServed.computeIfAbsent(name, n -> new HashSet<>()).add(boot);
                 self.ready(clock());
             }));
@@ -128,10 +141,14 @@
             run(() -> {
                 if (!cut) {
                     seen = version;
+                    own = latest;
                     self.view(clock(), latest, version, true);
                 } else {
                     self.tick(clock());
                 }
+                if (extra != null) {
+                    extra.tick(this);
+                }
                 after(80 + rng.nextInt(40), this::tick);
             });
         }
@@ -245,14 +262,14 @@
         }
     }
 
-    private final UniformRandomProvider rng;
+    final UniformRandomProvider rng;
     private final Parts parts;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
             : Long.compare(a.order(), b.order()));
-    private final State state = new State();
-    private Fleet latest = new Fleet(Map.of());
+    final State state = new State();
+    Fleet latest = new Fleet(Map.of());
     private long version;
-    private final Map<String, Process> processes = new TreeMap<>();
+    final Map<String, Process> processes = new TreeMap<>();
     private final List<Process> all = new ArrayList<>();
     private final Map<String, Set<String>> everServed = new HashMap<>();
     private final Set<String> everDraining = new HashSet<>();
@@ -267,13 +284,14 @@
     private final boolean calm;
     private int leader = -1;
     private long leaderSince;
-    private long now;
+    long now;
     private long order;
     private int boots;
     private boolean wrongOnce;
     private boolean everBack;
     private int plans;
-    private boolean healed;
+    boolean healed;
+    Extra extra;
     /** How releases ended, for a count of what the seeds cover. */
     String end = "";
     int commits;
@@ -334,21 +352,21 @@
 
     // ---- the world ----
 
-    private void after(long delay, Runnable run) {
+    void after(long delay, Runnable run) {
         events.add(new Event(now + delay, order++, run));
     }
 
-    private long delay() {
+    long delay() {
         return rng.nextInt(25) == 0 && !calm ? rng.nextInt(2_500) : 1 + rng.nextInt(20);
     }
 
-    private void check(boolean holds, String what) {
+    void check(boolean holds, String what) {
         if (!holds) {
             throw new Violation(what);
         }
     }
 
-    private void note(String what) {
+    void note(String what) {
         trace.add(now + " " + what);
     }
 
@@ -408,7 +426,7 @@
         });
     }
 
-    private void submit(Write write, boolean cut, Consumer<Boolean> ended) {
+    void submit(Write write, boolean cut, Consumer<Boolean> ended) {
         submit(write, cut, () -> true, ended);
     }
 
@@ -442,6 +460,9 @@
         Fleet before = latest;
         latest = new Fleet(values);
         judge(before);
+        if (extra != null) {
+            extra.committed();
+        }
     }
 
     // ---- the rules, against the true state ----
