Replay zone updates against processes, and move replays and measurements into the drill

Change: `drill.Replay` plays the same scripts against a broker, and a primary, that are processes, with the drill's load, history and checker in place of a second client, collector and verdict; `measure drains|zone|commits|death|keys` take the rest, on the project's own DNS classes in place of dnsjava's. What stalls the queries' loop is measured from outside, by a client's health checks. Found by it: the stand-in searcher read its next call only once it had answered the last, so that a part counted as late by its own queue (four parts "519 to 640 ms after a drain" on one searcher at 60 calls a second); it now reads at once.

--- a/src/main/java/reeldeal/cli/Commands.java
+++ b/src/main/java/reeldeal/cli/Commands.java
@@ -7,7 +7,7 @@
 
 /** All commands. Exit codes: 0 done, 1 the other side refused or cannot be reached, 2 bad usage or bad input. */
 @Command(name = "reeldeal", description = "The query broker of Riigihangete Keskus and its zone service.",
-        subcommands = {ZoneCommands.class, StoreCommands.class, FleetCommands.class, DrillCommand.class, CommandLine.HelpCommand.class}, mixinStandardHelpOptions = true,
+        subcommands = {ZoneCommands.class, StoreCommands.class, FleetCommands.class, DrillCommand.class, MeasureCommands.class, CommandLine.HelpCommand.class}, mixinStandardHelpOptions = true,
         footer = {"", "serve and benchlink are started as README.md says."})
 public final class Commands implements Runnable {
     static final int REFUSED = 1;
@@ -44,6 +44,6 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "expected a command: serve, benchlink, zone, store, fleet, drill");
+        throw new ParameterException(spec.commandLine(), "expected a command: serve, benchlink, zone, store, fleet, drill, measure");
     }
 }
--- /dev/null
+++ b/src/main/java/reeldeal/cli/MeasureCommands.java
@@ -0,0 +1,84 @@
+package reeldeal.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import reeldeal.drill.Drill;
+import reeldeal.drill.Replay;
+import reeldeal.drill.StoreMeasure;
+import reeldeal.drill.ZoneMeasure;
+
+/** Long measurements and replays, on this machine alone. */
+@Command(name = "measure", description = "Measures the program on this machine: processes and nodes on loopback.", mixinStandardHelpOptions = true)
+final class MeasureCommands implements Runnable {
+    @Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    /** Which program processes are made of. */
+    static final class Program {
+        @Option(names = "--jar", paramLabel = "FILE", description = "The program to start (default: this one).")
+        Path jar;
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "expected one of: zone, drains, commits, death, keys");
+    }
+
+    private void say(String line) {
+        spec.commandLine().getOut().println(line);
+        spec.commandLine().getOut().flush();
+    }
+
+    @Command(description = "A zone of so many records in a broker of its own: updates, queries, transfers, and what they cost its clients.",
+            mixinStandardHelpOptions = true)
+    int zone(@Mixin Program program, @Parameters(paramLabel = "RECORDS") int records) throws Exception {
+        try (ZoneMeasure measure = new ZoneMeasure(records, program.jar, this::say)) {
+            measure.run();
+        }
+        return 0;
+    }
+
+    @Command(description = {"Replays scripts of zone updates against a broker with stand-in searchers under load, as those in",
+        "deploy/drill/zones. 0: no part came to a drained searcher and each query had one answer."}, mixinStandardHelpOptions = true)
+    int drains(@Mixin Program program, @Parameters(paramLabel = "SCRIPT", arity = "1..*") List<Path> scripts) throws Exception {
+        int broken = 0;
+        for (Path script : scripts) {
+            Path folder = Files.createTempDirectory("replay");
+            try (Replay replay = new Replay(folder, program.jar)) {
+                Drill.Result result = replay.play(Files.readAllLines(script));
+                broken += result.broken().isEmpty() ? 0 : 1;
+                say(script.getFileName() + ": " + (result.broken().isEmpty() ? "all rules hold" : result.broken()) + " " + result.figures()
+                        + "; history in " + folder);
+            } catch (IllegalArgumentException | java.nio.file.NoSuchFileException e) {
+                throw new Commands.Failed(Commands.BAD_INPUT, script + ": " + e.getMessage());
+            }
+        }
+        return broken == 0 ? 0 : Commands.REFUSED;
+    }
+
+    @Command(description = "Commits a second of three and five nodes, by writers.", mixinStandardHelpOptions = true)
+    int commits() throws Exception {
+        StoreMeasure.commits();
+        return 0;
+    }
+
+    @Command(description = "The time from a leader's death to the next commit.", mixinStandardHelpOptions = true)
+    int death() throws Exception {
+        StoreMeasure.death();
+        return 0;
+    }
+
+    @Command(description = "A start with so many keys, and writes during a compaction.", mixinStandardHelpOptions = true)
+    int keys(@Parameters(paramLabel = "KEYS") int count) throws Exception {
+        StoreMeasure.keys(count);
+        return 0;
+    }
+}
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -31,9 +30,6 @@
     private static final int END_MS = 240_000;
     private static final int LOOK_MS = 200;
     private static final int TERM_MS = 3_000;
-    private static final int FIRST_PORT = 10_000;
-    private static final int LAST_PORT = 32_000;
-    private static final int RANGE = 256;
 
     /** How it ended: what was broken, and the figures. */
     public record Result(List<String> broken, Map<String, String> figures, Path folder) { }
@@ -53,7 +49,7 @@
     private String progress = "";
     private final Path jar;
     private final Path from;
-    private ServerSocket guard;
+    private Ports ports;
     private String oldProgram = "";
     private Load load;
 
@@ -91,7 +87,8 @@
     private void nodes(Path jar) throws IOException {
         List<String> names = IntStream.range(0, scenario.voters() + scenario.brokers()).mapToObj(i -> "b" + i).toList();
         voters.addAll(names.subList(0, scenario.voters()));
-        List<Integer> free = ports(3 * names.size());
+        ports = new Ports(3 * names.size());
+        List<Integer> free = ports.free;
         for (String from : names) {
             for (String to : names) {
                 if (!from.equals(to) && (voters.contains(from) || voters.contains(to))) {
@@ -119,31 +116,6 @@
         }
     }
 
-    /** Free ports out of a range whose first stays bound for as long as the drill lasts: two drills never share one. */
-    private List<Integer> ports(int count) throws IOException {
-        // Below the ports that connections are given by themselves, or a restarted broker may find its own taken.
-        for (int base = FIRST_PORT; base < LAST_PORT; base += RANGE) {
-            try {
-                guard = new ServerSocket(base, 1, InetAddress.getLoopbackAddress());
-            } catch (IOException taken) {
-                continue;
-            }
-            List<Integer> ports = new ArrayList<>();
-            for (int port = base + 1; port < base + RANGE && ports.size() < count; port++) {
-                try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                    ports.add(free.getLocalPort());
-                } catch (IOException taken) {
-                    continue;
-                }
-            }
-            if (ports.size() == count) {
-                return ports;
-            }
-            guard.close();
-        }
-        throw new IOException("no " + count + " free ports in a row below " + LAST_PORT);
-    }
-
     // ---- asking ----
 
     /** Asks whichever node answers, voters first; null where none does. */
@@ -488,7 +460,7 @@
         for (StandIn s : searchers) {
             s.close();
         }
-        guard.close();
+        ports.close();
         history.close();
     }
 }
--- a/src/main/java/reeldeal/drill/History.java
+++ b/src/main/java/reeldeal/drill/History.java
@@ -26,8 +26,13 @@
     }
 
     /** Adds an event as happening now. */
-    synchronized void add(String who, String what, String rest) {
-        out.println(now() + " " + who + " " + what + " " + rest.replace('\n', ' '));
+    void add(String who, String what, String rest) {
+        add(now(), who, what, rest);
+    }
+
+    /** Adds an event that happened then. */
+    synchronized void add(long at, String who, String what, String rest) {
+        out.println(at + " " + who + " " + what + " " + rest.replace('\n', ' '));
         if (!what.equals("part")) {
             out.flush();
         }
--- /dev/null
+++ b/src/main/java/reeldeal/drill/Ports.java
@@ -0,0 +1,48 @@
+package reeldeal.drill;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Free ports out of a range whose first stays bound until this is closed: two drills never share one. */
+final class Ports implements AutoCloseable {
+    // Below the ports that connections are given by themselves, or a restarted broker may find its own taken.
+    private static final int FIRST = 10_000;
+    private static final int LAST = 32_000;
+    private static final int RANGE = 256;
+
+    final List<Integer> free = new ArrayList<>();
+    private final ServerSocket guard;
+
+    Ports(int count) throws IOException {
+        for (int base = FIRST; base < LAST; base += RANGE) {
+            ServerSocket first;
+            try {
+                first = new ServerSocket(base, 1, InetAddress.getLoopbackAddress());
+            } catch (IOException taken) {
+                continue;
+            }
+            free.clear();
+            for (int port = base + 1; port < base + RANGE && free.size() < count; port++) {
+                try (ServerSocket unused = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                    free.add(unused.getLocalPort());
+                } catch (IOException taken) {
+                    continue;
+                }
+            }
+            if (free.size() == count) {
+                guard = first;
+                return;
+            }
+            first.close();
+        }
+        throw new IOException("no " + count + " free ports in a row below " + LAST);
+    }
+
+    @Override
+    public void close() throws IOException {
+        guard.close();
+    }
+}
--- a/src/main/java/reeldeal/drill/StandIn.java
+++ b/src/main/java/reeldeal/drill/StandIn.java
@@ -8,22 +8,23 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** A searcher on loopback that answers every part after a moment, and remembers when each came. */
+/** A searcher on loopback that answers every part after a moment. */
 public final class StandIn implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
-    /** When parts came, in System.nanoTime. */
-    private final List<Long> came = new ArrayList<>();
+    private final ScheduledExecutorService later = Executors.newScheduledThreadPool(1, r -> {
+        Thread thread = new Thread(r);
+        thread.setDaemon(true);
+        return thread;
+    });
     private final int serviceMs;
     private final Consumer<String> told;
 
-    /** One that answers after so long. */
-    public StandIn(int serviceMs) throws IOException {
-        this(serviceMs, part -> { });
-    }
-
-    /** One that also tells the name of each part as it comes. */
+    /** One that answers after so long, and tells the name of each part as it comes. */
     public StandIn(int serviceMs, Consumer<String> told) throws IOException {
         this.serviceMs = serviceMs;
         this.told = told;
@@ -75,36 +76,38 @@
             if (frame.equals("EOF")) {
                 return;
             } else if (frame.charAt(0) == 'Q') {
-                long now = System.nanoTime();
                 List<String> names = names(frame.substring(2));
-                synchronized (came) {
-                    names.forEach(n -> came.add(now));
-                }
                 names.forEach(told);
-                Thread.sleep(serviceMs);
-                for (String name : names) {
-                    out.write(Wire.frame("A " + name + " ok 1 -\nv"));
-                }
+                // What comes meanwhile is read meanwhile: a part counts from when it came, not from when its turn did.
+                later.schedule(() -> {
+                    try {
+                        for (String name : names) {
+                            write(out, "A " + name + " ok 1 -\nv");
+                        }
+                    } catch (IOException e) {
+                        return; // the broker has gone
+                    }
+                }, serviceMs, TimeUnit.MILLISECONDS);
             } else if (frame.charAt(0) == 'P' || frame.charAt(0) == 'L') {
-                out.write(Wire.frame(frame.charAt(0) + " cpu=0.1,waiting=0"));
+                write(out, frame.charAt(0) + " cpu=0.1,waiting=0");
             }
         }
     }
 
+    private static void write(OutputStream out, String frame) throws IOException {
+        synchronized (out) {
+            out.write(Wire.frame(frame));
+        }
+    }
+
     /** Where it listens. */
     public int port() {
         return server.getLocalPort();
     }
 
-    /** How long after this time the last part came, in ms, or below 0; parts of after {@code until} do not count. */
-    public double lastAfterMs(long from, long until) {
-        synchronized (came) {
-            return came.stream().filter(t -> t < until).mapToDouble(t -> (t - from) / 1e6).max().orElse(-1);
-        }
-    }
-
     @Override
     public void close() throws IOException {
         server.close();
+        later.shutdownNow();
     }
 }
--- a/src/test/java/reeldeal/store/StoreMeasure.java
+++ b/src/main/java/reeldeal/drill/StoreMeasure.java
@@ -1,4 +1,4 @@
-package reeldeal.store;
+package reeldeal.drill;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -15,12 +15,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
+import reeldeal.store.Backup;
+import reeldeal.store.Change;
+import reeldeal.store.State;
+import reeldeal.store.Store;
+import reeldeal.store.StoreConfig;
 
 /**
- * Measures the store by command, never in CI: {@code commits}, {@code death}, {@code keys N}. All nodes run in this
- * process, each with loops and threads of its own, over loopback and on the disk of the temporary folder.
+ * Measures the store by command, never in CI. All nodes run in this process, each with loops and threads of its own, over
+ * loopback and on the disk of the temporary folder: what a process costs is the drill's to show.
  */
-final class StoreMeasure {
+public final class StoreMeasure {
     private static final class Group implements AutoCloseable {
         final Path folder = Files.createTempDirectory("store");
         final Map<String, InetSocketAddress> nodes = new LinkedHashMap<>();
@@ -39,7 +44,7 @@
             for (String node : nodes.keySet()) {
                 EventLoopGroup loop = new NioEventLoopGroup(1);
                 Store store = new Store(loop, new StoreConfig("m", node, nodes, java.util.Set.of(), false, folder.resolve(node), null, 1), l -> { });
-                store.groupCommit = groupCommit;
+                store.groupCommit(groupCommit);
                 stores.put(node, store);
                 loops.put(node, loop);
                 store.start().sync();
@@ -81,22 +86,15 @@
 
     private StoreMeasure() { }
 
-    public static void main(String[] args) throws Exception {
-        switch (args[0]) {
-            case "commits" -> {
-                for (int size : new int[] {3, 5}) {
-                    for (boolean together : new boolean[] {true, false}) {
-                        for (int writers : new int[] {1, 16, 256}) {
-                            commits(size, together, writers);
-                        }
-                    }
+    /** Commits a second by writers, with and without one flush for many. */
+    public static void commits() throws Exception {
+        for (int size : new int[] {3, 5}) {
+            for (boolean together : new boolean[] {true, false}) {
+                for (int writers : new int[] {1, 16, 256}) {
+                    commits(size, together, writers);
                 }
             }
-            case "death" -> death();
-            case "keys" -> keys(Integer.parseInt(args[1]));
-            default -> throw new IllegalArgumentException(args[0]);
         }
-        System.exit(0);
     }
 
     private static void commits(int size, boolean together, int writers) throws Exception {
@@ -129,7 +127,8 @@
         });
     }
 
-    private static void death() throws Exception {
+    /** From the leader's death to the next commit. */
+    public static void death() throws Exception {
         List<Long> times = new ArrayList<>();
         for (int i = 0; i < 10; i++) {
             try (Group g = new Group(3)) {
@@ -159,7 +158,8 @@
         return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 10;
     }
 
-    private static void keys(int count) throws Exception {
+    /** A start with so many keys, and writes during a compaction. */
+    public static void keys(int count) throws Exception {
         try (Group g = new Group(1)) {
             long empty = heap();
             State state = new State();
--- /dev/null
+++ b/src/main/java/reeldeal/drill/ZoneMeasure.java
@@ -0,0 +1,237 @@
+package reeldeal.drill;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import reeldeal.dns.Rr;
+
+/**
+ * Measures the zone service by command, never in CI: a broker in a process of its own, whose zone has so many records. What
+ * stalls the loop that serves queries shows from outside, in the answers to a client that asks for the broker's health
+ * again and again.
+ */
+public final class ZoneMeasure implements AutoCloseable {
+    private static final String ORIGIN = "big.test.";
+    private static final int SEARCHERS = 12;
+    private static final int START_MS = 120_000;
+    private static final long RATE_NS = 5_000_000_000L;
+
+    private final Path folder = Files.createTempDirectory("measure");
+    private final History history = new History(folder.resolve("history.txt"));
+    private final Ports ports = new Ports(3);
+    private final Broker broker;
+    private final Consumer<String> out;
+    private final int hosts;
+    private final int dns;
+    private final Histogram health = new Histogram(3);
+    private volatile boolean stop;
+
+    /** A zone of so many records; lines of results go to {@code out}. */
+    public ZoneMeasure(int records, Path jar, Consumer<String> out) throws Exception {
+        this.out = out;
+        hosts = Math.max(1, (records - 2 - 3 * SEARCHERS) / 2);
+        dns = ports.free.get(1);
+        Path zone = Files.writeString(folder.resolve("zone"), zone());
+        Path store = Files.writeString(folder.resolve("store.json"), "{\"node\":\"a\",\"folder\":\"" + folder.resolve("a")
+                + "\",\"nodes\":{\"a\":\"127.0.0.1:" + ports.free.get(2) + "\"},\"dns\":{\"listen\":\"127.0.0.1:" + dns
+                + "\",\"idle_ms\":600000,\"members\":{\"flap_limit\":100000},\"origin\":\"" + ORIGIN + "\",\"zone_file\":\"" + zone + "\"}}");
+        Path config = folder.resolve("broker.json");
+        try (InputStream in = ZoneMeasure.class.getResourceAsStream("broker.json")) {
+            Files.write(config, in.readAllBytes());
+        }
+        List<String> program = new ArrayList<>(Broker.program(jar));
+        program.replaceAll(w -> w.equals("-Xmx96m") ? "-Xmx512m" : w);
+        broker = new Broker("a", ports.free.get(0), ports.free.get(2), dns, program, Map.of("LB_CONFIG", config.toString(),
+                "LB_NAME", "a", "LB_LISTEN", "127.0.0.1:" + ports.free.get(0), "REELDEAL_STORE", store.toString()), history);
+    }
+
+    /** Twelve searchers, and hosts with an address and a text each. */
+    private String zone() {
+        StringBuilder zone = new StringBuilder("$TTL 60\n@ SOA ns ops 1 3600 60 86400 30\n@ NS ns\n");
+        for (int i = 1; i <= SEARCHERS; i++) {
+            zone.append("_searcher._tcp SRV 0 0 ").append(8_000 + i).append(" s").append(i).append("\ns").append(i)
+                    .append(" A 127.0.0.1\ns").append(i).append(" TXT cell=").append(i % 4).append('\n');
+        }
+        for (int i = 0; i < hosts; i++) {
+            zone.append("h").append(i).append(" A 10.").append(i >> 16 & 255).append('.').append(i >> 8 & 255).append('.')
+                    .append(i & 255).append("\nh").append(i).append(" TXT \"host number ").append(i).append("\"\n");
+        }
+        return zone.toString();
+    }
+
+    private byte[] update(long n) {
+        String host = "h" + n * 13 % hosts;
+        return ZoneClient.update(ORIGIN, List.of("del " + host + " A", "add " + host + " 60 A 10.9.9." + n % 256));
+    }
+
+    /** Measures all there is. */
+    public void run() throws Exception {
+        broker.start();
+        long from = System.nanoTime();
+        while (!answers() || !broker.serves()) {
+            if ((System.nanoTime() - from) / 1_000_000 > START_MS) {
+                throw new IllegalStateException("does not serve; see " + folder);
+            }
+            Thread.sleep(20);
+        }
+        out.accept("zone of " + (2 + 3 * SEARCHERS + 2 * hosts) + " records served after " + (System.nanoTime() - from) / 1_000_000 + " ms, "
+                + broker.cost());
+        StandIn.daemon(this::askHealth);
+        Thread.sleep(2_000);
+        told("idle, 2 s");
+        try (ZoneClient client = new ZoneClient(dns)) {
+            Histogram alone = new Histogram(3);
+            for (int i = 0; i < 400; i++) {
+                byte[] update = update(i);
+                long sent = System.nanoTime();
+                client.send(update);
+                client.read();
+                if (i >= 100) {
+                    alone.recordValue(System.nanoTime() - sent);
+                }
+            }
+            told("update alone over TCP: " + ms(alone));
+            told("updates a second, 16 connections, 8 each out: " + rate());
+            told("queries a second over UDP, 4 askers, 16 each out: " + queries());
+            long serial = client.serial(ORIGIN);
+            for (int i = 0; i < 10; i++) {
+                client.send(update(i));
+                client.read();
+            }
+            long[] axfr = client.stream(ZoneClient.question(ORIGIN, Rr.AXFR));
+            told("AXFR: " + axfr[0] + " bytes in " + axfr[1] + " ms");
+            var ixfr = ZoneClient.question(ORIGIN, Rr.IXFR);
+            ixfr.add(2, ZoneClient.soa(ORIGIN, serial));
+            long[] changes = client.stream(ixfr);
+            told("IXFR of 10 updates: " + changes[0] + " bytes in " + changes[1] + " ms");
+        }
+        out.accept("at the end " + broker.cost());
+    }
+
+    private boolean answers() {
+        try (ZoneClient client = new ZoneClient(dns)) {
+            return client.serial(ORIGIN) > 0;
+        } catch (java.io.IOException e) {
+            return false; // not yet
+        }
+    }
+
+    private void askHealth() throws Exception {
+        while (!stop) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), ports.free.get(0))) {
+                socket.setTcpNoDelay(true);
+                OutputStream to = socket.getOutputStream();
+                while (!stop) {
+                    long from = System.nanoTime();
+                    to.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".getBytes());
+                    Wire.http(socket.getInputStream());
+                    synchronized (health) {
+                        health.recordValue(System.nanoTime() - from);
+                    }
+                    Thread.sleep(1);
+                }
+            }
+        }
+    }
+
+    private static String ms(Histogram h) {
+        return String.format(Locale.ROOT, "p50 %.2f p99 %.2f max %.2f ms", h.getValueAtPercentile(50) / 1e6, h.getValueAtPercentile(99) / 1e6,
+                h.getMaxValue() / 1e6);
+    }
+
+    private void told(String what) {
+        synchronized (health) {
+            out.accept(what + "; health meanwhile: " + ms(health));
+            health.reset();
+        }
+    }
+
+    private static void together(int threads, StandIn.Work work) throws InterruptedException {
+        List<Thread> all = new ArrayList<>();
+        for (int i = 0; i < threads; i++) {
+            Thread t = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            t.start();
+            all.add(t);
+        }
+        for (Thread t : all) {
+            t.join();
+        }
+    }
+
+    private long rate() throws Exception {
+        AtomicLong next = new AtomicLong();
+        AtomicLong done = new AtomicLong();
+        long from = System.nanoTime();
+        together(16, () -> {
+            try (ZoneClient line = new ZoneClient(dns)) {
+                int open = 0;
+                while (System.nanoTime() - from < RATE_NS || open > 0) {
+                    for (; open < 8 && System.nanoTime() - from < RATE_NS; open++) {
+                        line.send(update(next.getAndIncrement()));
+                    }
+                    line.read();
+                    open--;
+                    done.incrementAndGet();
+                }
+            }
+        });
+        return done.get() * 1_000_000_000L / (System.nanoTime() - from);
+    }
+
+    private String queries() throws Exception {
+        AtomicLong done = new AtomicLong();
+        AtomicLong lost = new AtomicLong();
+        long from = System.nanoTime();
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), dns);
+        together(4, () -> {
+            try (DatagramSocket socket = new DatagramSocket()) {
+                socket.setSoTimeout(1_000);
+                DatagramPacket got = new DatagramPacket(new byte[1_500], 1_500);
+                int open = 0;
+                for (int n = 0; System.nanoTime() - from < RATE_NS; n++) {
+                    for (; open < 16; open++) {
+                        byte[] q = ZoneClient.question("h" + (n + open) * 31L % hosts + "." + ORIGIN, Rr.A).toBytes();
+                        socket.send(new DatagramPacket(q, q.length, address));
+                    }
+                    try {
+                        socket.receive(got);
+                        open--;
+                        done.incrementAndGet();
+                    } catch (SocketTimeoutException e) {
+                        lost.addAndGet(open);
+                        open = 0;
+                    }
+                }
+            }
+        });
+        return done.get() * 1_000_000_000L / (System.nanoTime() - from) + ", " + lost.get() + " lost";
+    }
+
+    @Override
+    public void close() throws Exception {
+        stop = true;
+        broker.close();
+        ports.close();
+        history.close();
+    }
+}
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -81,8 +81,7 @@
     private final ExecutorService disk;
     private final ExecutorService background;
     private final List<Output.Persist> queued = new ArrayList<>();
-    /** Whether one flush serves all that came while the last was written; off only to measure what that is worth. */
-    boolean groupCommit = true;
+    private boolean groupCommit = true;
     private boolean diskBusy;
     private boolean halted;
     private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
@@ -111,6 +110,11 @@
     private boolean stuck;
     private Members linkedFor;
 
+    /** Whether one flush serves all that came while the last was written; off only to measure what that is worth. */
+    public void groupCommit(boolean on) {
+        groupCommit = on;
+    }
+
     /** Opens the node's folder; throws where it cannot be used. */
     public Store(EventLoopGroup group, StoreConfig config, Consumer<String> log) throws IOException {
         this.group = group;
@@ -772,7 +776,7 @@
     }
 
     /** The state is taken as it is now, at once; its bytes are made elsewhere. */
-    void compactNow() {
+    public void compactNow() {
         compacting = true;
         State.Frozen frozen = state.freeze();
         Snapshot shape = raft.snapshotAt(frozen.version(), new byte[0]);
--- /dev/null
+++ b/src/test/java/reeldeal/drill/ReplayTest.java
@@ -0,0 +1,45 @@
+package reeldeal.drill;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import org.junit.runner.RunWith;
+import org.junit.runners.Parameterized;
+
+/** Plays the scripts of src/test/resources/zones; the long ones in deploy/drill/zones are played by command. */
+@RunWith(Parameterized.class)
+public class ReplayTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private final Path script;
+
+    public ReplayTest(String name, Path script) {
+        this.script = script;
+    }
+
+    @Parameterized.Parameters(name = "{0}")
+    public static Collection<Object[]> scripts() throws java.io.IOException {
+        try (Stream<Path> files = Files.list(Path.of("src/test/resources/zones"))) {
+            return files.filter(f -> f.toString().endsWith(".txt")).sorted().map(f -> new Object[] {f.getFileName().toString(), f}).toList();
+        }
+    }
+
+    @Test
+    public void noPartGoesToADrainedSearcherAndEachQueryHasOneAnswer() throws Exception {
+        try (Replay replay = new Replay(folder.getRoot().toPath().resolve("run"), null)) {
+            Drill.Result result = replay.play(Files.readAllLines(script));
+            assertEquals(result.figures().toString(), List.of(), result.broken());
+        }
+        List<History.Event> events = History.read(folder.getRoot().toPath().resolve("run/history.txt"));
+        assertTrue("drains: " + events.size(), events.stream().filter(e -> e.what().equals("drained")).count() >= 4);
+        assertTrue("served whole", events.stream().filter(e -> e.rest().contains("whole=true")).count() > 100);
+    }
+}
