--- a/src/main/java/reeldeal/config/Scenario.java
+++ b/src/main/java/reeldeal/config/Scenario.java
@@ -32,20 +32,34 @@
  */
 public record Scenario(String name, int voters, int brokers, int searchers, int perSecond, Map<String, String> policy, boolean release,
         String find, String replace, String waves, long settleMs, long stepMs, String onHalt, int skewPct, int slowDiskMs, int dropPct, int delayPct, int doublePct, long faultsMs,
-        List<Action> actions) {
+        List<Action> actions, Keyed keyed) {
+
+    /**
+     * Requests with keys, whose clients come again elsewhere until they know how they ended.
+     *
+     * @param perSecond how many begin a second, 0 for none
+     * @param windowMs for which searchers drop repeats
+     * @param serviceMs that a searcher takes for a part
+     * @param termMs the leases' term
+     * @param handover the settings of that name in each node's file
+     * @param die points at which brokers that do not vote end by themselves, {@code POINT:PERMILLE,...}
+     */
+    public record Keyed(int perSecond, long windowMs, int serviceMs, int termMs, Map<String, String> handover, String die) { }
+
 
     /**
      * One thing that is done: {@code kill}, {@code pause}, {@code cut} or {@code deafen} (it sends and does not receive)
      * of {@code who}, for so long, {@code fill} (it is started again on a folder that is full), or {@code order} with the words of an operator. {@code who} is a node, {@code leader},
      * {@code zone} sends an update to a node's zone service: {@code NODE add|delete SEARCHER}. {@code who} may be
-     * {@code voter}, {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), or {@code third}.
+     * {@code voter}, {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), {@code third}, or {@code seven} (in ten,
+     * one of them a voter). {@code forget} has a searcher forget the keys that it ran.
      */
     public record Action(long atMs, String verb, String who, long forMs) { }
 
     private static final Set<String> KNOWN = Set.of("name", "voters", "brokers", "searchers", "per_second", "release", "waves", "settle_ms",
             "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count", "find", "replace",
-            "skew_pct", "slow_disk_ms");
-    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill", "zone");
+            "skew_pct", "slow_disk_ms", "keyed.per_second", "keyed.window_ms", "keyed.service_ms", "keyed.term_ms", "keyed.die");
+    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill", "zone", "forget");
 
     /** Reads a scenario; throws Invalid naming the place of what is wrong. */
     public static Scenario read(Path file) throws Invalid {
@@ -59,9 +73,12 @@
             throw new Invalid(file + ": cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
         }
         Map<String, String> policy = new HashMap<>();
+        Map<String, String> handover = new java.util.TreeMap<>();
         for (Map.Entry<String, String> e : v.entrySet()) {
             if (e.getKey().startsWith("policy.")) {
                 policy.put(e.getKey().substring("policy.".length()), e.getValue());
+            } else if (e.getKey().startsWith("keyed.handover.")) {
+                handover.put(e.getKey().substring("keyed.handover.".length()), e.getValue());
             } else if (!KNOWN.contains(e.getKey()) && !e.getKey().startsWith("actions.")) {
                 throw new Invalid(file + ": no such setting: " + e.getKey());
             }
@@ -87,7 +104,9 @@
                 number(file, v, "step_ms", 30_000, 1_000, 600_000), onHalt, (int) number(file, v, "skew_pct", 0, 0, 50),
                 (int) number(file, v, "slow_disk_ms", 0, 0, 5_000), (int) number(file, v, "drop_pct", 0, 0, 90),
                 (int) number(file, v, "delay_pct", 0, 0, 90), (int) number(file, v, "double_pct", 0, 0, 90),
-                number(file, v, "faults_ms", 30_000, 0, 600_000), List.copyOf(actions));
+                number(file, v, "faults_ms", 30_000, 0, 600_000), List.copyOf(actions), new Keyed((int) number(file, v, "keyed.per_second", 0, 0, 1_000),
+                number(file, v, "keyed.window_ms", 2_500, 0, 600_000), (int) number(file, v, "keyed.service_ms", 0, 0, 10_000),
+                (int) number(file, v, "keyed.term_ms", 3_000, 600, 60_000), handover, v.getOrDefault("keyed.die", "")));
     }
 
     private static long number(Path file, Map<String, String> v, String key, long otherwise, long least, long most) throws Invalid {
--- a/src/main/java/reeldeal/config/StoreFile.java
+++ b/src/main/java/reeldeal/config/StoreFile.java
@@ -14,17 +14,19 @@
 import java.util.TreeSet;
 import reeldeal.config.Config.Invalid;
 import reeldeal.fleet.members.Self;
+import reeldeal.handover.HandoverConfig;
 import reeldeal.muster.FleetConfig;
 import reeldeal.store.StoreConfig;
 import reeldeal.zones.ZonesConfig;
 
 /**
  * The replicated store and the zones kept in it, as a file under {@code deploy/} says; where there is none, both
- * are off. {@code zones} and {@code fleet} are null where they are not wanted.
+ * are off. {@code zones}, {@code fleet} and {@code handover} are null where they are not wanted.
  */
-public record StoreFile(StoreConfig store, ZonesConfig zones, FleetConfig fleet) {
+public record StoreFile(StoreConfig store, ZonesConfig zones, FleetConfig fleet, HandoverConfig handover) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final String FILE = "deploy/store.json";
+    private static final Set<String> HANDOVER_KNOWN = Set.of("keyed", "make_ms", "keep_ms", "most_kb", "most_open", "claims", "error_ms", "least_ms");
     private static final Set<String> FLEET_KNOWN = Set.of("zone", "program", "term_ms", "exit_wait_ms");
 
     /** The file's content, or null where there is none; REELDEAL_STORE names another file. */
@@ -81,7 +83,45 @@
                 joins.equals("true"), Path.of(text(values, "folder")), backup == null ? null : Path.of(backup),
                 Long.parseLong(every) * 1_000);
         return new StoreFile(store, values.keySet().stream().anyMatch(k -> k.startsWith("dns.")) ? ZonesFile.read(values)
-                : null, values.keySet().stream().anyMatch(k -> k.startsWith("fleet.")) ? fleet(values) : null);
+                : null, values.keySet().stream().anyMatch(k -> k.startsWith("fleet.")) ? fleet(values) : null, handover(values, voters.isEmpty()
+                ? nodes.size() : voters.size()));
+    }
+
+    /** The part {@code handover}: work in hand. Where nothing is said, a fleet with three voters or more keeps keyed work. */
+    private static HandoverConfig handover(Map<String, String> values, int voters) throws Invalid {
+        HandoverConfig d = HandoverConfig.DEFAULT;
+        boolean fleet = values.keySet().stream().anyMatch(k -> k.startsWith("fleet."));
+        Map<String, HandoverConfig.Mode> classes = new TreeMap<>();
+        boolean said = false;
+        for (String key : values.keySet()) {
+            if (key.startsWith("handover.classes.")) {
+                classes.put(key.substring("handover.classes.".length()), mode(values, key, null));
+            } else if (key.startsWith("handover.") && !HANDOVER_KNOWN.contains(key.substring("handover.".length()))) {
+                throw new Invalid("store " + key + ": no such setting; there are classes, " + String.join(", ", new TreeSet<>(HANDOVER_KNOWN)));
+            }
+            said |= key.startsWith("handover.");
+        }
+        if (said && !fleet) {
+            throw new Invalid("store handover: needs fleet, since work is taken over once its owner's lease has ended");
+        }
+        HandoverConfig config = new HandoverConfig(mode(values, "handover.keyed", voters >= 3 ? d.keyed() : HandoverConfig.Mode.OFF), classes,
+                ms(values, "handover.make_ms", d.makeMs(), 1), ms(values, "handover.keep_ms", d.keepMs(), 1_000),
+                1_000 * ms(values, "handover.most_kb", d.mostBytes() / 1_000, 100), (int) ms(values, "handover.most_open", d.mostOpen(), 1),
+                (int) ms(values, "handover.claims", d.claims(), 1), ms(values, "handover.error_ms", d.errorMs(), 1),
+                ms(values, "handover.least_ms", d.leastMs(), 1));
+        boolean on = config.keyed() != HandoverConfig.Mode.OFF || classes.values().stream().anyMatch(m -> m != HandoverConfig.Mode.OFF);
+        return fleet && on ? config : null;
+    }
+
+    private static HandoverConfig.Mode mode(Map<String, String> values, String key, HandoverConfig.Mode otherwise) throws Invalid {
+        String value = values.get(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (!value.matches("required|preferred|off")) {
+            throw new Invalid("store " + key + ": expected required, preferred or off, found " + value);
+        }
+        return HandoverConfig.Mode.valueOf(value.toUpperCase(java.util.Locale.ROOT));
     }
 
     /** The part {@code fleet}: this broker as a member of a fleet. */
@@ -92,7 +132,7 @@
             }
         }
         Self.Times times = Self.Times.DEFAULT;
-        long term = ms(values, "fleet.term_ms", times.termMs(), 2_000);
+        long term = ms(values, "fleet.term_ms", times.termMs(), 600);
         return new FleetConfig(text(values, "fleet.zone"), values.getOrDefault("fleet.program", program()), new Self.Times(term,
                 Math.min(times.beatMs(), term / 5), ms(values, "fleet.exit_wait_ms", times.exitWaitMs(), 0), times.againMs()));
     }
--- a/src/main/java/reeldeal/core/Port.java
+++ b/src/main/java/reeldeal/core/Port.java
@@ -14,6 +14,19 @@
     /** Hands a request over; its one reply comes to the consumer. */
     void submit(Request request, Consumer<Reply> reply);
 
+    /**
+     * The same for a request that bears a key of its client's, null for none: whoever asks with it again may be told the same,
+     * where this port keeps what it told.
+     */
+    default void submit(Request request, String key, Consumer<Reply> reply) {
+        submit(request, reply);
+    }
+
+    /** Whether this port itself knows a request of this class that comes again with its key. */
+    default boolean remembers(int klass) {
+        return false;
+    }
+
     /** The client of a request has left; no reply will come. */
     void gone(long request);
 
--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -202,7 +202,7 @@
         held++;
         effects.add(new Effect.Wake(request.giveUpAt() - now - settings.turnMs(),
                 new Event.DeadlineDue(request.id())));
-        module.query(now, new Query(request.id(), request.klass(), 0, 0, request.giveUpAt(), request.retry()),
+        module.query(now, new Query(request.id(), request.klass(), 0, 0, request.giveUpAt(), request.retry(), request.ranFrom()),
                 told);
     }
 
--- a/src/main/java/reeldeal/decide/Aggregator.java
+++ b/src/main/java/reeldeal/decide/Aggregator.java
@@ -91,8 +91,16 @@
         }
     }
 
-    /** A query; {@code tenant} counts from 0 and is ignored where there are none. */
-    record Query(long id, int klass, int tenant, long key, double giveUpAtMs, boolean retry) { }
+    /**
+     * A query; {@code tenant} counts from 0 and is ignored where there are none. Parts of it may have been sent before, by whoever had
+     * it then, from {@code ranFromMs} on: infinite where none was.
+     */
+    record Query(long id, int klass, int tenant, long key, double giveUpAtMs, boolean retry, double ranFromMs) {
+        /** One of which no part was sent before. */
+        public Query(long id, int klass, int tenant, long key, double giveUpAtMs, boolean retry) {
+            this(id, klass, tenant, key, giveUpAtMs, retry, Double.POSITIVE_INFINITY);
+        }
+    }
 
     /** A part of a query. */
     record Part(long id, int shard, double weight, long key) { }
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -462,8 +462,8 @@
         return switch (p.query.klass.effect()) {
             case SAFE -> true;
             // A part that may have run is sent again only while repeats are dropped.
-            case KEYED -> p.attempts.stream().filter(a -> !a.neverRan).mapToDouble(a -> a.at).min()
-                    .orElse(clock) + p.query.klass.windowMs() - settings.turnMs() > clock;
+            case KEYED -> Math.min(p.query.told.ranFromMs(), p.attempts.stream().filter(a -> !a.neverRan).mapToDouble(a -> a.at).min()
+                    .orElse(clock)) + p.query.klass.windowMs() - settings.turnMs() > clock;
             case UNSAFE -> p.live == 0 && p.provenUnrun();
         };
     }
--- a/src/main/java/reeldeal/drill/Check.java
+++ b/src/main/java/reeldeal/drill/Check.java
@@ -99,6 +99,7 @@
     private void log() {
         Map<String, Fleet.Value> values = new TreeMap<>();
         Fleet before = new Fleet(Map.of());
+        WorkCheck work = new WorkCheck(events, broken, figures);
         int grants = 0;
         int commits = 0;
         for (History.Event e : events) {
@@ -108,6 +109,10 @@
             commits++;
             Words words = Words.of(e.rest());
             long version = words.number("version", 0);
+            work.commit(words.all(), version, before);
+            if (words.all().keySet().stream().noneMatch(k -> k.startsWith(Fleet.ROOT))) {
+                continue;
+            }
             words.all().forEach((k, v) -> {
                 if (k.startsWith(Fleet.ROOT) && v.startsWith("+")) {
                     values.put(k, new Fleet.Value(v.substring(1), version));
@@ -122,7 +127,8 @@
             steps(before, after, version);
             before = after;
         }
-        figures.put("commits of the fleet's", commits + ", " + grants + " of them grants");
+        figures.put("commits of the fleet's and of work's", commits + ", " + grants + " of them grants");
+        work.judge();
     }
 
     private int judge(Fleet before, Fleet after, Kind kind, long version) {
--- a/src/main/java/reeldeal/drill/Load.java
+++ b/src/main/java/reeldeal/drill/Load.java
@@ -76,12 +76,17 @@
         }
     }
 
+    /** The brokers whose health check was good a moment ago. */
+    List<Broker> healthy() {
+        return brokers.stream().filter(b -> healthy.getOrDefault(b.name, false)).toList();
+    }
+
     private void ask(String client, long everyMs) throws InterruptedException {
         Map<String, Kept> open = new HashMap<>();
         while (!stop) {
             long began = System.nanoTime();
             int n = next.incrementAndGet();
-            List<Broker> up = brokers.stream().filter(b -> healthy.getOrDefault(b.name, false)).toList();
+            List<Broker> up = healthy();
             if (up.isEmpty()) {
                 history.add(client, "nobody", "");
             } else {
--- a/src/main/java/reeldeal/fleet/members/Lease.java
+++ b/src/main/java/reeldeal/fleet/members/Lease.java
@@ -32,6 +32,11 @@
         return (long) (termMs * (1 - SKEW));
     }
 
+    /** Until when the lease of an incarnation surely stands, by the holder's clock; long ago where it does not. */
+    public long until(long of) {
+        return of != 0 && of == incarnation ? until : Long.MIN_VALUE;
+    }
+
     /** Whether the lease of an incarnation surely stands. */
     public boolean stands(long of, long now) {
         return of != 0 && of == incarnation && now < until;
--- a/src/main/java/reeldeal/fleet/members/Self.java
+++ b/src/main/java/reeldeal/fleet/members/Self.java
@@ -156,6 +156,17 @@
         return me != null && me.live() && !left && lease.stands(me.incarnation(), now);
     }
 
+    /** Until when its lease surely stands as things are, long ago where it does not. */
+    public long heldUntil() {
+        Member me = me();
+        return me != null && me.live() && !left ? lease.until(me.incarnation()) : Long.MIN_VALUE;
+    }
+
+    /** This process as the log has it, or null. */
+    public Member member() {
+        return me();
+    }
+
     /** Its incarnation, 0 while it has none. */
     public long incarnation() {
         Member me = me();
--- a/src/main/java/reeldeal/fleet/work/Takeover.java
+++ b/src/main/java/reeldeal/fleet/work/Takeover.java
@@ -1,6 +1,7 @@
 package reeldeal.fleet.work;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,7 @@
  * Who takes over whose work, and what may still be done with it. All brokers come to the same shares from the same state; where
  * their copies differ the write's conditions let one of them have it.
  *
- * <p>The methods that tests break on purpose are protected.
+ * <p>The methods that tests break on purpose are protected or public.
  */
 public class Takeover {
 
@@ -24,49 +25,78 @@
      * @param errorMs by which the wall clocks of two machines may differ
      * @param leastMs that a part needs; less left is none
      */
-    public record Window(long windowMs, long errorMs, long leastMs) { }
+    public record Window(long windowMs, long errorMs, long leastMs) {
+        /** Unix ms from which on no part of a request that began then may be sent. */
+        public long endsAt(long began) {
+            return windowMs == 0 ? Long.MAX_VALUE : began + windowMs - errorMs;
+        }
+    }
 
-    /** What may be done with a request that was taken over. */
-    public enum Ruling { RUN, UNKNOWN, TOO_LATE }
+    /** What may be done with a request of which parts may have been sent since it began. */
+    public enum Ruling {
+        /** It may be run. */
+        RUN,
+        /** It may have run, and cannot be run again. */
+        UNKNOWN,
+        /** No time is left; a repeat would do no harm. */
+        TOO_LATE
+    }
 
     /** Whether a record's owner can do nothing more for it: its lease has ended, or it holds another one since. */
     public boolean orphaned(Fleet fleet, Work work) {
         Member owner = fleet.members().get(work.owner());
-        return work.state() == Work.State.OPEN && (owner == null || !owner.live() || owner.incarnation() != work.incarnation());
+        return work.open() && (owner == null || !owner.live() || owner.incarnation() != work.incarnation());
     }
 
     /**
      * The orphans that fall to a broker, in the order in which it should claim them: the worthiest, then the most urgent. Each goes
      * to the serving broker that has the least in hand, out of another zone than its owner where there is a choice.
      */
-    public List<Work> shares(Fleet fleet, List<Work> works, String self) {
+    public List<Work> shares(Fleet fleet, Collection<Work> open, String self) {
+        List<Work> orphans = new ArrayList<>();
         Map<String, Integer> held = new TreeMap<>();
-        fleet.members().values().stream().filter(m -> m.state() == Fleet.State.SERVING).forEach(m -> held.put(m.name(), 0));
-        works.stream().filter(w -> w.state() == Work.State.OPEN && !orphaned(fleet, w)).forEach(w -> held.computeIfPresent(w.owner(), (n, c) -> c + 1));
+        for (Work w : open) {
+            if (orphaned(fleet, w)) {
+                orphans.add(w);
+            } else if (w.open()) {
+                held.merge(w.owner(), 1, Integer::sum);
+            }
+        }
         List<Work> mine = new ArrayList<>();
-        if (held.isEmpty()) {
+        List<String> able = fleet.members().values().stream().filter(m -> m.state() == Fleet.State.SERVING).map(Member::name).toList();
+        if (orphans.isEmpty() || !able.contains(self)) {
             return mine;
         }
-        works.stream().filter(w -> orphaned(fleet, w)).sorted(Comparator.comparingDouble((Work w) -> -w.worth()).thenComparingLong(Work::until)
-                .thenComparing(Work::key)).forEach(w -> {
-                    Member owner = fleet.members().get(w.owner());
-                    String zone = owner == null ? "" : owner.zone();
-                    String to = held.keySet().stream().min(Comparator.<String>comparingInt(held::get)
-                            .thenComparing(n -> fleet.members().get(n).zone().equals(zone)).thenComparingInt(n -> (w.key() + n).hashCode())).orElseThrow();
-                    held.merge(to, 1, Integer::sum);
-                    if (to.equals(self)) {
-                        mine.add(w);
-                    }
-                });
+        orphans.sort(Comparator.comparingDouble((Work w) -> -w.worth()).thenComparingLong(Work::until).thenComparing(Work::key));
+        for (Work w : orphans) {
+            Member owner = fleet.members().get(w.owner());
+            String zone = owner == null ? "" : owner.zone();
+            String to = able.stream().min(Comparator.<String>comparingInt(n -> held.getOrDefault(n, 0))
+                    .thenComparing(n -> fleet.members().get(n).zone().equals(zone)).thenComparingInt(n -> (w.key() + n).hashCode())).orElseThrow();
+            held.merge(to, 1, Integer::sum);
+            if (to.equals(self)) {
+                mine.add(w);
+            }
+        }
         return mine;
     }
 
     /** The write with which a broker takes a record over; it needs the record, and the end of its owner's lease, as they were seen. */
     public Write claim(Fleet fleet, Work work, Member self) {
-        Write write = Write.because(self.name() + " takes over " + work.key() + " from " + work.owner()).need(Work.at(work.key()), work.version())
+        return write(fleet, work, self, "takes over", work.takenBy(self.name(), self.incarnation()));
+    }
+
+    /** The write with which a broker ends at once a record of another that it could take over, and do nothing with. */
+    public Write close(Fleet fleet, Work work, Member self, Ruling ruling, long now) {
+        boolean unknown = ruling == Ruling.UNKNOWN;
+        return write(fleet, work, self, "ends", work.ended(unknown ? Work.State.UNKNOWN : Work.State.FAILED, unknown ? "" : Hand.LATE, now));
+    }
+
+    private Write write(Fleet fleet, Work work, Member self, String does, Work becomes) {
+        Write write = Write.because(self.name() + " " + does + " " + work.key() + " from " + work.owner()).need(Work.at(work.key()), work.version())
                 .need(Fleet.BOOT + self.name(), self.incarnation()).need(Fleet.STATE + self.name(), self.stateVersion());
         fence(fleet, work, write);
-        return write.put(Work.at(work.key()), work.takenBy(self.name(), self.incarnation()).words());
+        return write.put(Work.at(work.key()), becomes.words());
     }
 
     /** The owner's lease must have ended in the log, by the versions of its registration and its state. */
@@ -75,11 +105,16 @@
                 .need(Fleet.STATE + work.owner(), fleet.version(Fleet.STATE + work.owner()));
     }
 
-    /** What may be done at a time, Unix ms, with a request of which parts may have been sent since it began. */
+    /** What may be done at a time, Unix ms. */
     public Ruling ruling(Work work, long now, Window window) {
         if (now + window.leastMs() > work.until()) {
             return window.windowMs() == 0 ? Ruling.TOO_LATE : Ruling.UNKNOWN;
         }
-        return window.windowMs() == 0 || now + window.leastMs() + window.errorMs() <= work.began() + window.windowMs() ? Ruling.RUN : Ruling.UNKNOWN;
+        return repeatable(work, now, window) ? Ruling.RUN : Ruling.UNKNOWN;
+    }
+
+    /** Whether searchers still drop what they have run of it, for as long as a part needs. */
+    public boolean repeatable(Work work, long now, Window window) {
+        return window.windowMs() == 0 || now + window.leastMs() <= window.endsAt(work.began());
     }
 }
--- /dev/null
+++ b/src/main/java/reeldeal/handover/Guard.java
@@ -0,0 +1,279 @@
+package reeldeal.handover;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import reeldeal.core.Effect;
+import reeldeal.core.Port;
+import reeldeal.core.Reply;
+import reeldeal.core.Request;
+import reeldeal.decide.Aggregator.QueryClass;
+import reeldeal.decide.Aggregator.Settings;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.work.Hand;
+import reeldeal.fleet.work.Takeover;
+import reeldeal.fleet.work.Work;
+import reeldeal.handover.HandoverConfig.Mode;
+import reeldeal.store.Store;
+
+/**
+ * Stands between the fronts and the broker: has requests recorded before they run, runs what was taken over, and asks before each
+ * sending whether the work is still this broker's. Used on the broker's loop.
+ */
+public final class Guard implements Port, Keeper.Runner {
+    private static final int MOST_TEXT = 40_000; // of a request, for its record to fit into the store
+
+    private record Client(Request request, String key, Consumer<Reply> reply) { }
+
+    private static final class Run {
+        final long id;
+        final boolean recorded;
+        boolean sent;
+
+        Run(long id, boolean recorded) {
+            this.id = id;
+            this.recorded = recorded;
+        }
+    }
+
+    private final Port broker;
+    private final Settings settings;
+    private final List<String> classes;
+    private final List<Mode> modes = new ArrayList<>();
+    private final HandoverConfig config;
+    private final EventLoop loop;
+    private final EventLoop state;
+    private final Keeper keeper;
+    private final BooleanSupplier holds;
+    private final Map<Long, Client> clients = new HashMap<>();
+    private final Map<String, Run> runs = new HashMap<>();
+    private final Map<Long, String> keys = new HashMap<>();
+
+    /** {@code holds} says whether this broker's lease surely stands; from any thread. */
+    public Guard(Port broker, EventLoop loop, EventLoop state, Store store, Settings settings, List<String> classes, HandoverConfig config,
+            BooleanSupplier holds, java.util.function.LongSupplier wallOffMs, Consumer<String> log) {
+        this.broker = broker;
+        this.loop = loop;
+        this.state = state;
+        this.settings = settings;
+        this.classes = classes;
+        this.config = config;
+        this.holds = holds;
+        for (String named : config.classes().keySet()) {
+            if (!classes.contains(named)) {
+                throw new IllegalArgumentException("store handover.classes." + named + ": no such class; there are " + String.join(", ", classes));
+            }
+        }
+        Map<String, Takeover.Window> windows = new HashMap<>();
+        for (int i = 0; i < classes.size(); i++) {
+            QueryClass c = settings.classes().get(i);
+            boolean keyed = c.effect() == reeldeal.decide.Aggregator.Effect.KEYED;
+            boolean once = c.effect() == reeldeal.decide.Aggregator.Effect.UNSAFE;
+            modes.add(config.mode(classes.get(i), keyed));
+            // What may never run twice has no window at all: a repeat is never made.
+            windows.put(classes.get(i), new Takeover.Window(keyed ? (long) c.windowMs() : once ? 1 : 0, config.errorMs(), config.leastMs()));
+        }
+        Function<String, Takeover.Window> window = k -> windows.getOrDefault(k, new Takeover.Window(1, 0, 0));
+        keeper = new Keeper(state, store, config, window, wallOffMs, log);
+    }
+
+    /** Begins; on the store's loop. */
+    public void start() {
+        keeper.start(this);
+    }
+
+    /** What the log says of the fleet; on the store's loop. */
+    public void view(Fleet fleet, Fleet.Member self) {
+        keeper.view(fleet, self);
+    }
+
+    /** Whether a send may be written now: the lease stands and the copy of the log says that the work is this broker's. */
+    public boolean maySend(Effect.Send send) {
+        String key = keys.get(send.request().id());
+        Run run = key == null ? null : runs.get(key);
+        if (run == null) {
+            return true;
+        }
+        if (run.recorded && !(holds.getAsBoolean() && keeper.owns(key))) {
+            keeper.count(Keeper.Count.BARRED);
+            return false;
+        }
+        if (run.sent) {
+            Crash.at("between_parts");
+        }
+        if (send.first() != null) {
+            Crash.at("second_step");
+        }
+        run.sent = true;
+        return true;
+    }
+
+    // ---- the port ----
+
+    @Override
+    public double now() {
+        return broker.now();
+    }
+
+    @Override
+    public long nextRequest() {
+        return broker.nextRequest();
+    }
+
+    @Override
+    public void after(double delayMs, Runnable run) {
+        broker.after(delayMs, run);
+    }
+
+    @Override
+    public boolean ready() {
+        return broker.ready();
+    }
+
+    @Override
+    public boolean remembers(int klass) {
+        return modes.get(klass) != Mode.OFF;
+    }
+
+    @Override
+    public void submit(Request request, Consumer<Reply> reply) {
+        submit(request, null, reply);
+    }
+
+    @Override
+    public void submit(Request request, String clientKey, Consumer<Reply> reply) {
+        Mode mode = modes.get(request.klass());
+        if (mode == Mode.OFF) {
+            broker.submit(request, reply);
+            return;
+        }
+        if (request.text().length() > MOST_TEXT) {
+            keeper.count(mode == Mode.REQUIRED ? Keeper.Count.REFUSED : Keeper.Count.ALONE);
+            if (mode == Mode.REQUIRED) {
+                reply.accept(new Reply.Invalid("the text is too long to be recorded: " + MOST_TEXT + " characters at the most"));
+            } else {
+                broker.submit(request, reply);
+            }
+            return;
+        }
+        String klass = classes.get(request.klass());
+        String key = klass + " " + (clientKey == null ? request.name() : clientKey);
+        long id = request.id();
+        clients.put(id, new Client(request, key, reply));
+        double left = request.giveUpAt() - broker.now();
+        long until = System.currentTimeMillis() + (long) left;
+        Hand.Asked asked = new Hand.Asked(id, key, Parcel.digest(request), klass, settings.classes().get(request.klass()).worth(), until,
+                Parcel.body(request), mode == Mode.REQUIRED);
+        // Whatever becomes of the record, the client has its answer within its time.
+        broker.after(Math.max(0, left - 2 * settings.turnMs()), () -> {
+            if (clients.containsKey(id)) {
+                answer(id, new Reply.Failed("not known yet; ask again with the same key"));
+                state.execute(() -> keeper.gone(key, id));
+            }
+        });
+        state.execute(() -> {
+            Crash.at("before_record");
+            keeper.asked(asked);
+        });
+    }
+
+    @Override
+    public void gone(long id) {
+        Client client = clients.remove(id);
+        if (client == null) {
+            broker.gone(id);
+        } else {
+            // What is recorded runs on: its client may come for the answer, here or elsewhere.
+            state.execute(() -> keeper.gone(client.key(), id));
+        }
+    }
+
+    private void answer(long client, Reply reply) {
+        Client of = clients.remove(client);
+        if (of != null) {
+            of.reply().accept(reply);
+        }
+    }
+
+    // ---- the keeper's orders; on the store's loop ----
+
+    @Override
+    public void run(Work work, boolean first) {
+        loop.execute(() -> begin(work, first));
+    }
+
+    @Override
+    public void stop(String key) {
+        loop.execute(() -> {
+            Run run = runs.remove(key);
+            if (run != null) {
+                keys.remove(run.id);
+                broker.gone(run.id);
+            }
+        });
+    }
+
+    @Override
+    public void tell(Hand.Act act) {
+        loop.execute(() -> {
+            if (act instanceof Hand.Tell t) {
+                Crash.at("after_outcome");
+                answer(t.client(), t.state() == Work.State.UNKNOWN
+                        ? new Reply.Invalid("an earlier try may have taken effect, and repeats of it are no longer dropped") : Parcel.reply(t.outcome()));
+            } else if (act instanceof Hand.Conflict c) {
+                answer(c.client(), new Reply.Invalid("the idempotency key belongs to another request"));
+            } else if (act instanceof Hand.Refuse r) {
+                answer(r.client(), new Reply.Refused(settings.limits().maxComeBackMs()));
+            } else if (act instanceof Hand.Alone a) {
+                alone(a.client());
+            }
+        });
+    }
+
+    private void alone(long id) {
+        Client client = clients.remove(id);
+        if (client == null) {
+            return;
+        }
+        Run run = new Run(id, false);
+        runs.putIfAbsent(client.key(), run);
+        keys.put(id, client.key());
+        broker.submit(client.request(), reply -> {
+            ended(client.key(), run, reply);
+            client.reply().accept(reply);
+        });
+    }
+
+    private void begin(Work work, boolean first) {
+        Crash.at(first ? "after_record" : "after_claim");
+        int klass = classes.indexOf(work.klass());
+        if (klass < 0) {
+            return; // a class of another configuration: its record ends by its time
+        }
+        Client of = clients.values().stream().filter(c -> c.key().equals(work.key())).findFirst().orElse(null);
+        double wallAhead = System.currentTimeMillis() - broker.now();
+        double until = work.until() - wallAhead;
+        double ranFrom = first ? Double.POSITIVE_INFINITY : work.began() - config.errorMs() - wallAhead;
+        Request r = first && of != null ? of.request() : Parcel.request(work.body(), work.turns(), broker.nextRequest(), klass, until, ranFrom);
+        Run run = new Run(r.id(), true);
+        runs.put(work.key(), run);
+        keys.put(r.id(), work.key());
+        broker.submit(r, reply -> ended(work.key(), run, reply));
+    }
+
+    private void ended(String key, Run run, Reply reply) {
+        Crash.at("after_answers");
+        keys.remove(run.id);
+        runs.remove(key, run);
+        Hand.End how = reply instanceof Reply.Served ? Hand.End.DONE : run.sent ? Hand.End.FAILED : Hand.End.UNSENT;
+        String outcome = Parcel.outcome(reply);
+        boolean fits = outcome.length() < MOST_TEXT * 4;
+        state.execute(() -> keeper.ran(key, fits ? how : Hand.End.FAILED, fits ? outcome
+                : Parcel.outcome(new Reply.Failed("the answer is too large to be kept"))));
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/handover/HandoverConfig.java
@@ -0,0 +1,43 @@
+package reeldeal.handover;
+
+import java.util.Map;
+
+/**
+ * What is recorded of work in hand, and for how long.
+ *
+ * @param keyed the mode of classes whose requests bear a key, where {@code classes} says nothing else
+ * @param classes modes by the names of classes
+ * @param makeMs that a record may take before the request is refused or goes on without
+ * @param keepMs for which outcomes are kept
+ * @param mostBytes of records in the store, ended ones included
+ * @param mostOpen requests in hand at one broker that are recorded
+ * @param claims that one broker has under way at once of what others left
+ * @param errorMs by which two brokers' wall clocks may differ; a clock that is further off makes no records and takes over none
+ * @param leastMs that a part needs: with less left it is not sent again
+ */
+public record HandoverConfig(Mode keyed, Map<String, Mode> classes, long makeMs, long keepMs, long mostBytes, int mostOpen, int claims,
+        long errorMs, long leastMs) {
+
+    /** What becomes of a request whose record cannot be made in time. */
+    public enum Mode {
+        /** It is refused, with a time to come back. */
+        REQUIRED,
+        /** It goes on without, and is counted. */
+        PREFERRED,
+        /** None is made. */
+        OFF
+    }
+
+    /** As where an operator says nothing. */
+    public static final HandoverConfig DEFAULT = new HandoverConfig(Mode.PREFERRED, Map.of(), 250, 600_000, 32 << 20, 2_000, 20, 150, 100);
+
+    /** The same with another mode for keyed classes. */
+    public HandoverConfig with(Mode mode) {
+        return new HandoverConfig(mode, classes, makeMs, keepMs, mostBytes, mostOpen, claims, errorMs, leastMs);
+    }
+
+    /** A class's mode. */
+    public Mode mode(String klass, boolean isKeyed) {
+        return classes.getOrDefault(klass, isKeyed ? keyed : Mode.OFF);
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/handover/Keeper.java
@@ -0,0 +1,274 @@
+package reeldeal.handover;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.Write;
+import reeldeal.fleet.work.Bundles;
+import reeldeal.fleet.work.Hand;
+import reeldeal.fleet.work.Sweep;
+import reeldeal.fleet.work.Takeover;
+import reeldeal.fleet.work.Work;
+import reeldeal.store.Change;
+import reeldeal.store.State;
+import reeldeal.store.Store;
+
+/** One broker's records in the store. Runs on the store's loop; what it asks of the broker goes to the {@link Runner}. */
+final class Keeper {
+    private static final int TICK_MS = 50;
+    private static final int SWEEP_MS = 1_000;
+    private static final int SWEEP_PAGE = 500;
+    private static final int BUNDLE_WRITES = 64;
+    private static final int BUNDLE_BYTES = 128 * 1024;
+    private static final int BUNDLES = 3;
+    private static final int AGAIN_MS = 300;
+    private static final double ROOM = 0.8; // of the quota, for new records; the rest is for ends
+
+    /** The broker's side; called on the store's loop. */
+    interface Runner {
+        void run(Work work, boolean first);
+
+        void stop(String key);
+
+        void tell(Hand.Act act);
+    }
+
+    private final EventLoop loop;
+    private final Store store;
+    private final HandoverConfig config;
+    private final LongSupplier wallOffMs;
+    private final Consumer<String> log;
+    private final Hand hand;
+    private final Bundles bundles = new Bundles(BUNDLE_WRITES, BUNDLE_BYTES, BUNDLES);
+    private final Set<String> owned = ConcurrentHashMap.newKeySet();
+    private final Set<String> changed = new LinkedHashSet<>();
+    private final List<Landed> landed = new ArrayList<>();
+    private final AtomicLong[] counts = new AtomicLong[Count.values().length];
+    private Runner runner;
+    private boolean changePlanned;
+    private String sweptTo = Work.ROOT;
+    private boolean sweeping;
+    private boolean doubtful;
+
+    /** What is counted for operators. */
+    enum Count { RECORDED, TAKEN_OVER, ENDED_FOR_OTHERS, ALONE, REFUSED, DONE, FAILED, UNKNOWN, BARRED }
+
+    /** Writes that are committed, at a version that this node may not have told yet. */
+    private record Landed(long version, Set<String> keys) { }
+
+    Keeper(EventLoop loop, Store store, HandoverConfig config, Function<String, Takeover.Window> windows, LongSupplier wallOffMs, Consumer<String> log) {
+        this.loop = loop;
+        this.store = store;
+        this.config = config;
+        this.wallOffMs = wallOffMs;
+        this.log = log;
+        for (int i = 0; i < counts.length; i++) {
+            counts[i] = new AtomicLong();
+        }
+        hand = new Hand(store.node(), new Takeover(), windows, new Hand.Bounds(config.claims(), config.mostOpen(), config.makeMs(), AGAIN_MS), this::look);
+    }
+
+    /** Begins; on the loop, before the store tells anything new. */
+    void start(Runner to) {
+        runner = to;
+        store.onChange(changes -> {
+            for (Change c : changes) {
+                if (c.key().startsWith(Work.ROOT)) {
+                    changed.add(Work.keyOf(c.key()));
+                }
+            }
+            changedSoon();
+        });
+        store.onAsk("work", this::asked);
+        store.under(Work.ROOT).forEach((k, v) -> changed.add(Work.keyOf(k)));
+        loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static long now() {
+        return System.currentTimeMillis();
+    }
+
+    private Work look(String key) {
+        State.Value value = store.value(Work.at(key));
+        return value == null ? null : Work.of(Work.at(key), value.text(), value.version());
+    }
+
+    // ---- what comes in; on the loop ----
+
+    void view(Fleet fleet, Fleet.Member self) {
+        room();
+        hand.view(now(), fleet, doubtful ? null : self);
+        perform();
+    }
+
+    void asked(Hand.Asked request) {
+        room();
+        hand.asked(now(), request);
+        perform();
+    }
+
+    void gone(String key, long client) {
+        hand.gone(key, client);
+    }
+
+    void ran(String key, Hand.End how, String outcome) {
+        hand.ran(now(), key, how, outcome);
+        perform();
+    }
+
+    /** Whether a part of this key's may be sent as far as this node's copy of the log says; from any thread. */
+    boolean owns(String key) {
+        return owned.contains(key);
+    }
+
+    void count(Count what) {
+        counts[what.ordinal()].incrementAndGet();
+    }
+
+    // ---- what follows ----
+
+    /** A wall clock that is off would make records whose times mislead others. */
+    private void room() {
+        boolean off = wallOffMs.getAsLong() > config.errorMs();
+        if (off != doubtful) {
+            doubtful = off;
+            log.accept(off ? "work: this node's clock is " + wallOffMs.getAsLong() + " ms off the leader's; it makes no records and takes over none"
+                    : "work: this node's clock is right again");
+        }
+        hand.full(off || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
+    }
+
+    private void changedSoon() {
+        if (!changePlanned && !changed.isEmpty()) {
+            changePlanned = true;
+            loop.execute(() -> {
+                changePlanned = false;
+                told();
+                perform();
+            });
+        }
+    }
+
+    private void told() {
+        Set<String> keys = new LinkedHashSet<>(changed);
+        changed.clear();
+        hand.changed(now(), keys);
+        for (Landed l : List.copyOf(landed)) {
+            if (store.version() >= l.version()) {
+                landed.remove(l);
+                l.keys().forEach(k -> hand.ended(now(), k, true));
+            }
+        }
+    }
+
+    private void tick() {
+        room();
+        told();
+        hand.tick(now());
+        perform();
+    }
+
+    private void perform() {
+        for (Hand.Act act : hand.take()) {
+            if (act instanceof Hand.Put put) {
+                if (put.write().why().contains(" takes over ")) {
+                    log.accept("work: " + put.write().why());
+                    count(Count.TAKEN_OVER);
+                } else if (put.write().why().contains(" ends ")) {
+                    log.accept("work: " + put.write().why());
+                    count(Count.ENDED_FOR_OTHERS);
+                }
+                bundles.add(put.key(), put.write());
+            } else if (act instanceof Hand.Run run) {
+                count(Count.RECORDED);
+                owned.add(run.work().key());
+                runner.run(run.work(), run.first());
+            } else if (act instanceof Hand.Stop stop) {
+                owned.remove(stop.key());
+                runner.stop(stop.key());
+            } else {
+                count(act instanceof Hand.Alone ? Count.ALONE : act instanceof Hand.Refuse ? Count.REFUSED : !(act instanceof Hand.Tell tell) ? Count.REFUSED
+                        : tell.state() == Work.State.DONE ? Count.DONE : tell.state() == Work.State.FAILED ? Count.FAILED : Count.UNKNOWN);
+                runner.tell(act);
+            }
+        }
+        owned.removeIf(k -> !hand.owns(k));
+        pump();
+    }
+
+    private void pump() {
+        for (Bundles.Bundle b : bundles.due()) {
+            store.submit(expects(b.write()), changes(b.write()), result -> loop.execute(() -> {
+                Set<String> keys = bundles.ended(b.id(), result instanceof Store.Rejected);
+                if (result instanceof Store.Committed c) {
+                    landed.add(new Landed(c.version(), keys));
+                    told();
+                } else {
+                    keys.forEach(k -> hand.ended(now(), k, false));
+                }
+                perform();
+            }));
+        }
+    }
+
+    private static List<State.Expect> expects(Write write) {
+        return write.needs().entrySet().stream().map(e -> new State.Expect(e.getKey(), e.getValue())).toList();
+    }
+
+    private static List<Change> changes(Write write) {
+        return write.puts().entrySet().stream().map(e -> new Change(e.getKey(), e.getValue())).toList();
+    }
+
+    /** The node that writes takes away what is kept no longer, a page of records after another, and sees to the quota. */
+    private void sweep() {
+        if (!store.isWriter() || sweeping) {
+            return;
+        }
+        String quota = State.QUOTA + Work.ROOT.substring(0, Work.ROOT.length() - 1);
+        if (!String.valueOf(config.mostBytes()).equals(store.get(quota))) {
+            store.write(List.of(new Change(quota, String.valueOf(config.mostBytes()))), result -> { });
+        }
+        Map<String, State.Value> page = store.page(Work.ROOT, sweptTo, SWEEP_PAGE);
+        List<Work> works = new ArrayList<>();
+        page.forEach((k, v) -> works.add(Work.of(k, v.text(), v.version())));
+        sweptTo = page.size() < SWEEP_PAGE ? Work.ROOT : Work.at(works.get(works.size() - 1).key());
+        Write write = Sweep.of(works, now(), config.keepMs(), SWEEP_PAGE);
+        if (write != null) {
+            sweeping = true;
+            store.submit(expects(write), changes(write), result -> sweeping = false);
+        }
+    }
+
+    // ---- operators ----
+
+    private void asked(String text, Store.Reply reply) {
+        String key = text.substring("work".length()).trim();
+        if (!key.isEmpty()) {
+            Work w = look(key);
+            if (w == null) {
+                reply.refuse("no record of " + key);
+            } else {
+                reply.tell(w.words().with("version", w.version()).with("body", w.body().length() + " characters").toString());
+            }
+            return;
+        }
+        Words words = new Words().with("node", store.node()).with("in_hand", owned.size()).with("open_in_all", hand.open()).with("bytes", store.bytesUnder(Work.ROOT))
+                .with("writes_waiting", bundles.size());
+        for (Count c : Count.values()) {
+            words.with(c.name().toLowerCase(java.util.Locale.ROOT), counts[c.ordinal()].get());
+        }
+        reply.tell(words.toString());
+    }
+}
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Words;
@@ -77,6 +78,9 @@
     private boolean answersPlanned;
     private long leaderSeenAt = nowMs();
     private long seenOf = -1;
+    private final List<BiConsumer<Fleet, Fleet.Member>> views = new ArrayList<>();
+    private volatile long heldUntil = Long.MIN_VALUE;
+    private long wallOffMs = Long.MIN_VALUE;
 
     /** For a store that has not begun yet; {@code config} names the configuration that the broker runs with. */
     public Muster(EventLoop loop, Store store, FleetConfig config, String configVersion, Host host, Consumer<String> log) {
@@ -133,6 +137,7 @@
         coordinator.view(nowMs(), fleet);
         self.view(nowMs(), fleet, seenOf, store.isCurrent());
         perform();
+        views.forEach(v -> v.accept(fleet, self.member()));
     }
 
     private void tick() {
@@ -186,6 +191,7 @@
     // ---- this member ----
 
     private void perform() {
+        heldUntil = self.heldUntil();
         for (Self.Act act : self.take()) {
             if (act instanceof Self.Put put) {
                 store.submit(expects(put.write()), changes(put.write()), result -> loop.execute(() -> {
@@ -228,13 +234,18 @@
             long incarnation = words.number("beat", 0);
             if (coordinator.beat(nowMs(), from, incarnation, words.number("seen", 0), new Health.Counts(words.number("asked", 0),
                     words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)), Set.of(words.get("ejected").split(",")))) {
-                byte[] answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0)).toString()
-                        .getBytes(StandardCharsets.UTF_8);
-                unanswered.add(() -> store.tell(from, TOPIC, answer));
+                Words answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0));
+                unanswered.add(() -> store.tell(from, TOPIC, answer.with("wall", System.currentTimeMillis()).toString().getBytes(StandardCharsets.UTF_8)));
                 answerSoon();
             }
         } else if (!words.get("held").isEmpty()) {
-            self.answered(nowMs(), words.number("held", 0), words.number("sent", 0));
+            long now = nowMs();
+            self.answered(now, words.number("held", 0), words.number("sent", 0));
+            // The leader told its clock between the beat's sending and now: what lies outside of that is error.
+            long wall = System.currentTimeMillis();
+            long leaders = words.number("wall", 0);
+            long took = now - words.number("sent", 0);
+            wallOffMs = leaders == 0 ? Long.MIN_VALUE : Math.max(0, Math.max(leaders - wall, wall - took - leaders));
             perform();
         }
     }
@@ -252,9 +263,19 @@
         }
     }
 
-    /** Whether this member's lease surely stands. */
+    /** Whether this member's lease surely stands; from any thread. */
     public boolean holds() {
-        return self.holds(nowMs());
+        return nowMs() < heldUntil;
+    }
+
+    /** By how much this node's wall clock is off the leader's at the least, ms; negative where that is not known yet. */
+    public long wallOffMs() {
+        return wallOffMs;
+    }
+
+    /** Tells the fleet and this process as a member, null where it is none, whenever they may have changed; on the loop. */
+    public void onView(BiConsumer<Fleet, Fleet.Member> view) {
+        views.add(view);
     }
 
     /** The broker takes clients; from any thread. */
@@ -279,6 +300,7 @@
         CountDownLatch told = new CountDownLatch(1);
         loop.execute(() -> {
             Write write = self.gone();
+            heldUntil = self.heldUntil();
             if (write == null) {
                 told.countDown();
             } else {
--- a/src/main/java/reeldeal/platform/PlatformFront.java
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -78,7 +78,7 @@
             long id = port.nextRequest();
             exchange.onGone(() -> port.gone(id));
             port.submit(new Request(id, name, klass, keyed ? key : null, now + wait,
-                    "1".equals(message.header("x-repeat")), body.text(), body.pieces()),
+                    "1".equals(message.header("x-repeat")), body.text(), body.pieces()), isWord(key) ? key : null,
                     reply -> answer(exchange, reply));
         }
     }
--- a/src/main/java/reeldeal/search/SearchFront.java
+++ b/src/main/java/reeldeal/search/SearchFront.java
@@ -44,7 +44,7 @@
 
     /** One search of a message, checked and ready to be asked. */
     private record Ask(Index index, List<Segment> segments, SearchBody body, double giveUpAt,
-            String idempotencyKey) { }
+            String idempotencyKey, String clientKey) { }
 
     /** Takes one message. */
     public void accept(HttpMessage message, Exchange exchange) {
@@ -199,11 +199,12 @@
         double wait = Math.min(klass.deadlineMs(), Math.min(body.timeoutMs,
                 left == null ? Double.POSITIVE_INFINITY : Double.parseDouble(left)));
         String key = body.idempotencyKey == null ? message.header("idempotency-key") : body.idempotencyKey;
-        if (klass.effect() == Effect.KEYED && (key == null || !key.matches("[!-+\\--~]{1,128}"))) {
+        boolean word = key != null && key.matches("[!-+\\--~]{1,128}");
+        if (klass.effect() == Effect.KEYED && !word) {
             throw new Unsupported("illegal_argument_exception", "index [" + index.name()
                     + "] needs an idempotency key, as the header Idempotency-Key or as ext.idempotency_key");
         }
-        return new Ask(index, segments, body, now + wait, klass.effect() == Effect.KEYED ? key : null);
+        return new Ask(index, segments, body, now + wait, klass.effect() == Effect.KEYED ? key : null, word ? key : null);
     }
 
     /** Submits one search; its outcome comes exactly once, or never if the client leaves. */
@@ -220,9 +221,9 @@
                 done.accept(item(ask, r, port.now() - now));
             }
         };
-        if (ask.idempotencyKey() == null) {
+        if (ask.idempotencyKey() == null || port.remembers(request.klass())) {
             leaving.add(() -> port.gone(id));
-            port.submit(request, reply);
+            port.submit(request, ask.clientKey(), reply);
             return;
         }
         leaving.add(() -> keyed.left(request.klass(), request.idempotencyKey(), reply));
--- a/src/main/java/reeldeal/search/SearchOutlet.java
+++ b/src/main/java/reeldeal/search/SearchOutlet.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import reeldeal.core.AttemptEnd;
 import reeldeal.core.AttemptEnd.Reach;
 import reeldeal.core.Effect;
@@ -33,6 +34,7 @@
     private final DoubleSupplier clock;
     private final Consumer<Event> events;
     private final Map<String, List<Line>> byAddress = new HashMap<>();
+    private Predicate<Effect.Send> fence; // null where all may be sent
 
     public SearchOutlet(EventLoopGroup group, double idleMs, int connectTimeoutMs, DoubleSupplier clock,
             Consumer<Event> events) {
@@ -61,11 +63,16 @@
             call.sends().forEach(s -> end(s, new AttemptEnd.Broken(Reach.UNSENT, "no connection to be had")));
             return;
         }
+        List<Effect.Send> sends = fence == null ? call.sends() : call.sends().stream().filter(fence).toList();
+        call.sends().stream().filter(s -> !sends.contains(s)).forEach(s -> end(s, new AttemptEnd.Barred()));
+        if (sends.isEmpty()) {
+            return;
+        }
         line.usedAt = clock.getAsDouble();
-        line.waiting = new ArrayList<>(call.sends());
-        double longest = call.sends().stream().mapToDouble(Effect.Send::waitMs).max().orElse(0);
+        line.waiting = new ArrayList<>(sends);
+        double longest = sends.stream().mapToDouble(Effect.Send::waitMs).max().orElse(0);
         line.client.call("POST", "/" + SearchWire.INDEX + "/_msearch",
-                Map.of("Content-Type", "application/x-ndjson"), SearchWire.call(call.sends()),
+                Map.of("Content-Type", "application/x-ndjson"), SearchWire.call(sends),
                 (long) (longest + LATE_MS), result -> ended(line, result));
     }
 
@@ -103,6 +110,11 @@
         }
     }
 
+    @Override
+    public void fence(Predicate<Effect.Send> maySend) {
+        fence = maySend;
+    }
+
     @Override
     public void abandon(Effect.Abandon abandon) {
         for (List<Line> lines : List.copyOf(byAddress.values())) {
--- a/src/main/java/reeldeal/searchers/ByKind.java
+++ b/src/main/java/reeldeal/searchers/ByKind.java
@@ -1,6 +1,7 @@
 package reeldeal.searchers;
 
 import java.util.Set;
+import java.util.function.Predicate;
 import reeldeal.core.Effect;
 import reeldeal.core.Searcher;
 
@@ -41,6 +42,12 @@
         of(probe.searcher()).probe(probe);
     }
 
+    @Override
+    public void fence(Predicate<Effect.Send> maySend) {
+        frames.fence(maySend);
+        other.fence(maySend);
+    }
+
     @Override
     public void sweep() {
         frames.sweep();
--- a/src/main/java/reeldeal/searchers/Outlet.java
+++ b/src/main/java/reeldeal/searchers/Outlet.java
@@ -1,5 +1,6 @@
 package reeldeal.searchers;
 
+import java.util.function.Predicate;
 import reeldeal.core.Effect;
 import reeldeal.core.Searcher;
 
@@ -18,6 +19,9 @@
     /** Asks a searcher for its load. */
     void probe(Effect.Probe probe);
 
+    /** From now on what this says no to is not written, and ends unsent; it is asked in the moment of writing. */
+    void fence(Predicate<Effect.Send> maySend);
+
     /** Closes connections that have been idle for long. */
     void sweep();
 
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import reeldeal.core.AttemptEnd;
 import reeldeal.core.AttemptEnd.Reach;
 import reeldeal.core.Effect;
@@ -84,6 +85,7 @@
     private final Map<String, List<Connection>> byAddress = new HashMap<>();
     private final Map<Key, Connection> out = new HashMap<>();
     private int open;
+    private Predicate<Effect.Send> fence; // null where all may be sent
 
     public Pool(EventLoopGroup group, Bounds bounds, List<String> loadColumns, DoubleSupplier clock,
             Consumer<Event> events, Consumer<String> log) {
@@ -136,6 +138,11 @@
         }
     }
 
+    @Override
+    public void fence(Predicate<Effect.Send> maySend) {
+        fence = maySend;
+    }
+
     /** Closes connections that have been idle for long, and ends probes that were not answered. */
     @Override
     public void sweep() {
@@ -239,7 +246,15 @@
             }
         }
 
-        private void write(List<Effect.Send> sends) {
+        private void write(List<Effect.Send> asked) {
+            List<Effect.Send> sends = fence == null ? asked : asked.stream().filter(fence).toList();
+            for (Effect.Send barred : sends.size() == asked.size() ? List.<Effect.Send>of() : asked.stream().filter(s -> !sends.contains(s)).toList()) {
+                waiting.remove(Frames.partName(barred));
+                end(barred, new AttemptEnd.Barred(), "-");
+            }
+            if (sends.isEmpty()) {
+                return;
+            }
             List<Out> outs = sends.stream().map(s -> waiting.get(Frames.partName(s))).toList();
             outs.forEach(o -> o.handedAt = clock.getAsDouble());
             channel.writeAndFlush(Frames.call(sends)).addListener(f -> outs.forEach(o -> o.written |= f.isSuccess()));
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import reeldeal.config.Config;
 import reeldeal.core.Effect;
 import reeldeal.core.Event;
@@ -58,6 +59,7 @@
     private boolean ready;
     private volatile boolean out;
     private Tally tally;
+    private Port port = this;
     private volatile java.util.Set<String> ejected = java.util.Set.of();
     private volatile double drainBegan = Double.POSITIVE_INFINITY;
 
@@ -83,7 +85,7 @@
 
     /** Listens and serves; throws where an address cannot be had. */
     public void start() throws Exception {
-        PlatformFront front = new PlatformFront(this, config.settings(), config.classes(), config.shards());
+        PlatformFront front = new PlatformFront(port, config.settings(), config.classes(), config.shards());
         HttpServer platform = new HttpServer(config.sockets() / 2, MAX_UNREAD, front::accept);
         servers.add(platform);
         loop.submit(() -> {
@@ -100,7 +102,7 @@
         platform.listen(group, config.listen()).sync();
         if (config.search() != null) {
             HttpServer search = new HttpServer(config.sockets() / 8, MAX_UNREAD,
-                    new SearchFront(this, config.settings(), config.search(), config.name())::accept);
+                    new SearchFront(port, config.settings(), config.search(), config.name())::accept);
             servers.add(search);
             search.listen(group, config.search().listen()).sync();
             log("search front on " + search.address());
@@ -189,6 +191,20 @@
         log("stopped");
     }
 
+    /**
+     * Puts a port before this one, for all fronts, and asks before each sending whether it may be; before it serves. Both are used
+     * on the broker's loop.
+     */
+    void guard(Port before, Predicate<Effect.Send> maySend) {
+        port = before;
+        searchers.fence(maySend);
+    }
+
+    /** The loop on which all of it runs. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Brings an event from outside the loop. */
     void tell(Event event) {
         loop.execute(() -> event(event));
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -16,6 +16,7 @@
 import reeldeal.cli.Commands;
 import reeldeal.config.Config;
 import reeldeal.config.StoreFile;
+import reeldeal.handover.Guard;
 import reeldeal.muster.FleetConfig;
 import reeldeal.muster.Muster;
 import reeldeal.store.Change;
@@ -76,10 +77,14 @@
             }
             Muster muster = fleet == null ? null : new Member(state, store, fleet, broker, config,
                     new String(bytes, StandardCharsets.UTF_8), daemon).muster();
+            Guard guard = storeFile == null || storeFile.handover() == null ? null : Member.guard(state, store, broker, muster, config, storeFile.handover());
             stopInOrder(broker, muster);
             reloadOnHangUp(broker, daemon);
             if (muster != null) {
                 broker.count();
+                if (guard != null) {
+                    state.next().submit(guard::start).sync();
+                }
                 state.next().submit(muster::start).sync();
             }
             if (daemon != null) {
--- a/src/main/java/reeldeal/serve/Member.java
+++ b/src/main/java/reeldeal/serve/Member.java
@@ -12,6 +12,8 @@
 import reeldeal.fleet.permits.Permits;
 import reeldeal.fleet.permits.Seen;
 import reeldeal.fleet.release.Health;
+import reeldeal.handover.Guard;
+import reeldeal.handover.HandoverConfig;
 import reeldeal.membership.Membership;
 import reeldeal.muster.FleetConfig;
 import reeldeal.muster.Muster;
@@ -82,6 +84,15 @@
         return seen.isEmpty() ? null : seen;
     }
 
+    /** Has work in hand recorded and taken over; before the broker serves and the muster starts. */
+    static Guard guard(EventLoopGroup state, Store store, Broker broker, Muster muster, Config config, HandoverConfig handover) {
+        Guard guard = new Guard(broker, broker.loop(), state.next(), store, config.settings(), config.classes(), handover, muster::holds,
+                muster::wallOffMs, Broker::log);
+        muster.onView(guard::view);
+        broker.guard(guard, guard::maySend);
+        return guard;
+    }
+
     /** The configuration that a release has given this node, or null; the store is waited for as for a configuration. */
     static String released(EventLoopGroup state, Store store) throws InterruptedException {
         long until = System.nanoTime() + (Store.OLD_COPY_MS + 500) * 1_000_000L;
--- a/src/main/java/reeldeal/store/State.java
+++ b/src/main/java/reeldeal/store/State.java
@@ -89,6 +89,18 @@
         return values.subMap(prefix, true, prefix + Character.MAX_VALUE, false);
     }
 
+    /** The next values whose keys begin so, after a key, in their order. */
+    public Map<String, Value> page(String prefix, String after, int most) {
+        Map<String, Value> page = new TreeMap<>();
+        for (Map.Entry<String, Value> e : values.subMap(after, false, prefix + Character.MAX_VALUE, false).entrySet()) {
+            if (page.size() >= most) {
+                break;
+            }
+            page.put(e.getKey(), e.getValue());
+        }
+        return page;
+    }
+
     /** Bytes kept under the first part of a key. */
     public long bytesUnder(String part) {
         return bytes.getOrDefault(part, 0L);
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -557,6 +557,16 @@
         group.next().schedule(run, ms, TimeUnit.MILLISECONDS);
     }
 
+    /** Bytes that are kept under the first part of a key, which a quota may bound. */
+    public long bytesUnder(String prefix) {
+        return state.bytesUnder(prefix.substring(0, prefix.indexOf('/')));
+    }
+
+    /** The next values whose keys begin so, after a key, in their order. */
+    public Map<String, State.Value> page(String prefix, String after, int most) {
+        return state.page(prefix, after, most);
+    }
+
     /** The forms and rules of the log that hold now. */
     public int level() {
         return state.level();
