--- /dev/null
+++ b/src/test/java/reeldeal/fleet/StandingTest.java
@@ -0,0 +1,75 @@
+package reeldeal.fleet;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.Test;
+import reeldeal.fleet.recovery.Epoch;
+import reeldeal.fleet.recovery.Plan;
+import reeldeal.fleet.recovery.Recovery;
+import reeldeal.fleet.recovery.Standing;
+
+/** Where a broker stands on its way back, and what operators may order. */
+public class StandingTest {
+    private static final Plan PLAN = Plan.DEFAULT;
+    private final Standing standing = new Standing(PLAN, "x");
+
+    private static Fleet fleet(String recovery, String state) {
+        Map<String, Fleet.Value> values = new TreeMap<>();
+        values.put(Fleet.BOOT + "a", new Fleet.Value("boot=a1 session=s zone=x", 10));
+        values.put(Fleet.STATE + "a", new Fleet.Value("incarnation=10 state=" + state, 11));
+        if (recovery != null) {
+            values.put(Epoch.KEY, new Fleet.Value(recovery, 12));
+        }
+        return new Fleet(values);
+    }
+
+    private String look(Fleet fleet, boolean heard, boolean old, boolean judged, boolean listed) {
+        standing.look(fleet, fleet.members().get("a"), heard, old, judged, listed);
+        return standing.stage() + " " + standing.share();
+    }
+
+    @Test
+    public void aBrokerOpensWholeOnceItsStartIsJudgedAndNothingClosesItAfterThat() {
+        Fleet quiet = fleet(null, "SERVING");
+        assertEquals("GROUP 0.0", look(quiet, false, false, false, false));
+        assertEquals("ALONE 0.5", look(quiet, false, true, false, true));
+        assertEquals("JUDGING 0.25", look(quiet, true, true, false, true));
+        assertEquals("LIST 1.0", look(quiet, true, true, true, false));
+        assertEquals("SERVING 1.0", look(quiet, true, true, true, true));
+        assertEquals("SERVING 1.0", look(fleet("epoch=1 kind=whole step=1 held=false ended=false", "SERVING"), true, true, true, true));
+        assertEquals("SERVING 1.0", look(quiet, true, true, true, false));
+    }
+
+    @Test
+    public void aRecoveryThatConcernsItOpensItByItsSteps() {
+        assertEquals("OPENING 0.25", look(fleet("epoch=1 kind=whole step=1 held=false ended=false", "SERVING"), true, false, false, true));
+        assertEquals("OPENING 0.75", look(fleet("epoch=1 kind=zone zone=x step=3 held=true ended=false", "SERVING"), true, false, false, true));
+        assertTrue(standing.describe(), standing.describe().contains("held"));
+        assertEquals("another zone's does not", "JUDGING 0.25", look(fleet("epoch=2 kind=zone zone=y step=1 held=false ended=false", "SERVING"), true, false,
+                false, true));
+        assertEquals("SERVING 1.0", look(fleet("epoch=1 kind=whole step=4 held=false ended=true", "SERVING"), true, false, true, true));
+        assertEquals(1, standing.coldOf());
+    }
+
+    @Test
+    public void operatorsHoldForceAndForgetWithAReasonOrAreToldWhyNot() {
+        Fleet quiet = fleet(null, "SERVING");
+        Words why = new Words().with("name", "x").with("reason", "drill");
+        assertEquals("no recovery is under way", Recovery.order(quiet, PLAN, "hold", why));
+        assertEquals("members of zone x are live", Recovery.order(quiet, PLAN, "forget", why));
+        assertEquals("no member is of zone y", Recovery.order(quiet, PLAN, "forget", new Words().with("name", "y")));
+        Write forgets = (Write) Recovery.order(fleet(null, "LAPSED"), PLAN, "forget", why);
+        assertTrue(forgets.toString(), forgets.puts().get(Epoch.KEY).contains("forgotten=x") && forgets.why().contains("operator: drill"));
+        Fleet opening = fleet("epoch=3 kind=whole step=2 held=false ended=false", "SERVING");
+        Write holds = (Write) Recovery.order(opening, PLAN, "hold", why);
+        assertEquals(Map.of(Epoch.KEY, 12L), holds.needs());
+        assertTrue(holds.puts().get(Epoch.KEY).contains("held=true"));
+        assertEquals("it is not held", Recovery.order(opening, PLAN, "resume", why));
+        assertTrue(((Write) Recovery.order(opening, PLAN, "force", why)).puts().get(Epoch.KEY).contains("step=3"));
+        assertTrue(((Write) Recovery.order(fleet("epoch=3 kind=whole step=4 held=false ended=false", "SERVING"), PLAN, "force", why)).puts().get(Epoch.KEY)
+                .contains("ended=true"));
+    }
+}
