Make no records while the store is slow, and take back those that nobody waits for

Checked: the store's log has few commits, clients were refused 14,250 times; each refusal after a second's wait came back within 0.3 s, and each try cost two writes, the record and its taking back, behind a queue that was not served. Ruled out: the module and the lists, which served the same load without records beside it. At fault: Keeper went on queueing records behind writes older than a record may take; Hand left the queue what it had refused; all refusals named the same time to come back; the drill's clients did not heed it. `measure check` judges old histories again.

--- a/src/main/java/reeldeal/cli/MeasureCommands.java
+++ b/src/main/java/reeldeal/cli/MeasureCommands.java
@@ -29,7 +29,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "expected one of: zone, drains, commits, death, keys");
+        throw new ParameterException(spec.commandLine(), "expected one of: zone, drains, check, commits, death, keys");
     }
 
     private void say(String line) {
@@ -64,6 +64,20 @@
         return broken == 0 ? 0 : Commands.REFUSED;
     }
 
+    @Command(description = "Checks the histories that drills have left in these folders once more.", mixinStandardHelpOptions = true)
+    int check(@Parameters(paramLabel = "FOLDER", arity = "1..*") List<Path> folders) throws Exception {
+        int broken = 0;
+        for (Path folder : folders) {
+            if (!Files.isReadable(folder.resolve("history.txt"))) {
+                throw new Commands.Failed(Commands.BAD_INPUT, folder + ": no history.txt");
+            }
+            Drill.Result result = Drill.check(folder);
+            broken += result.broken().isEmpty() ? 0 : 1;
+            say(folder.getFileName() + ": " + (result.broken().isEmpty() ? "all rules hold" : result.broken()) + " " + result.figures());
+        }
+        return broken == 0 ? 0 : Commands.REFUSED;
+    }
+
     @Command(description = "Commits a second of three and five nodes, by writers.", mixinStandardHelpOptions = true)
     int commits() throws Exception {
         StoreMeasure.commits();
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -238,6 +238,14 @@
         return new Result(verdict.broken(), verdict.figures(), folder);
     }
 
+    /** Checks the history that a drill has left in a folder once more, and writes its report anew. */
+    public static Result check(Path folder) throws IOException {
+        List<History.Event> events = History.read(folder.resolve("history.txt"));
+        Check.Verdict verdict = Check.of(events);
+        Report.write(folder, "Drill " + folder.getFileName(), events, verdict);
+        return new Result(verdict.broken(), verdict.figures(), folder);
+    }
+
     private interface Holds {
         boolean now() throws Exception;
     }
--- a/src/main/java/reeldeal/drill/WorkCheck.java
+++ b/src/main/java/reeldeal/drill/WorkCheck.java
@@ -167,7 +167,7 @@
                 openAt.computeIfAbsent(word(e, "to"), b -> new HashMap<>()).put(word(e, "id"), e.who());
                 asked.putIfAbsent(e.who(), e.at());
             } else if (e.what().equals("answer") && keyed) {
-                openAt.getOrDefault(word(e, "to"), Map.of()).remove(word(e, "id"));
+                openAt.getOrDefault(word(e, "to"), new HashMap<>()).remove(word(e, "id"));
             } else if (e.what().equals("kill") || e.what().equals("log") && e.rest().startsWith("work: ends at ")) {
                 kills++;
                 for (String key : new HashSet<>(openAt.getOrDefault(e.who(), new HashMap<>()).values())) {
--- a/src/main/java/reeldeal/fleet/work/Bundles.java
+++ b/src/main/java/reeldeal/fleet/work/Bundles.java
@@ -96,6 +96,11 @@
         return keys;
     }
 
+    /** Takes back a write that has not gone out yet; whether there was one. */
+    public boolean drop(String key) {
+        return queue.removeIf(i -> i.key().equals(key));
+    }
+
     /** Writes that wait or are under way. */
     public int size() {
         return queue.size() + out.values().stream().mapToInt(List::size).sum();
--- a/src/main/java/reeldeal/fleet/work/Hand.java
+++ b/src/main/java/reeldeal/fleet/work/Hand.java
@@ -31,6 +31,9 @@
     /** A write; its end is told by {@link Hand#ended}. */
     public record Put(String key, Write write) implements Act { }
 
+    /** The write for this key is not needed any more, if it has not gone out yet: nobody waits for it. */
+    public record Drop(String key) implements Act { }
+
     /** Run this request: it is this broker's. {@code first} says that no part of it was ever sent. */
     public record Run(Work work, boolean first) implements Act { }
 
@@ -289,6 +292,9 @@
         });
         if (of.isEmpty()) {
             waiting.remove(key);
+            if (w == null && writing.containsKey(key)) {
+                acts.add(new Drop(key)); // a slow store is not to be kept busy with what clients have given up
+            }
         } else if (me != null && me.live() && w == null && !ends.containsKey(key) && !running.containsKey(key)) {
             Asked a = of.get(0).asked;
             put(now, key, begin(new Work(key, a.digest(), a.klass(), a.worth(), name, me.incarnation(), now, a.until(), 1, Work.State.OPEN, "", a.body(), 0, 0)));
--- a/src/main/java/reeldeal/handover/Guard.java
+++ b/src/main/java/reeldeal/handover/Guard.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -54,6 +55,7 @@
     private final Map<Long, Client> clients = new HashMap<>();
     private final Map<String, Run> runs = new HashMap<>();
     private final Map<Long, String> keys = new HashMap<>();
+    private final SplittableRandom random;
 
     /** {@code holds} says whether this broker's lease surely stands; from any thread. */
     public Guard(Port broker, EventLoop loop, EventLoop state, Store store, Settings settings, List<String> classes, HandoverConfig config,
@@ -62,6 +64,7 @@
         this.loop = loop;
         this.state = state;
         this.settings = settings;
+        random = new SplittableRandom(settings.seed());
         this.classes = classes;
         this.config = config;
         this.holds = holds;
@@ -234,7 +237,8 @@
             } else if (act instanceof Hand.Conflict c) {
                 answer(c.client(), new Reply.Invalid("the idempotency key belongs to another request"));
             } else if (act instanceof Hand.Refuse r) {
-                answer(r.client(), new Reply.Refused(settings.limits().maxComeBackMs()));
+                // Spread, so that those who were refused together do not come back together.
+                answer(r.client(), new Reply.Refused(settings.limits().maxComeBackMs() * (0.5 + 0.5 * random.nextDouble())));
             } else if (act instanceof Hand.Alone a) {
                 alone(a.client());
             }
--- a/src/main/java/reeldeal/handover/Keeper.java
+++ b/src/main/java/reeldeal/handover/Keeper.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,7 @@
     private final Bundles bundles = new Bundles(BUNDLE_WRITES, BUNDLE_BYTES, BUNDLES);
     private final Set<String> owned = ConcurrentHashMap.newKeySet();
     private final Set<String> changed = new LinkedHashSet<>();
+    private final Map<Long, Long> sentAt = new HashMap<>(); // bundles under way
     private final List<Landed> landed = new ArrayList<>();
     private final AtomicLong[] counts = new AtomicLong[Count.values().length];
     private Runner runner;
@@ -146,7 +148,10 @@
 
     // ---- what follows ----
 
-    /** A wall clock that is off would make records whose times mislead others. */
+    /**
+     * A wall clock that is off would make records whose times mislead others. While a write takes longer than a record may, further
+     * ones would only wait behind it, to be given up: they are refused, or go on without, at once.
+     */
     private void room() {
         boolean off = wallOffMs.getAsLong() > config.errorMs();
         if (off != doubtful) {
@@ -154,7 +159,8 @@
             log.accept(off ? "work: this node's clock is " + wallOffMs.getAsLong() + " ms off the leader's; it makes no records and takes over none"
                     : "work: this node's clock is right again");
         }
-        hand.full(off || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
+        boolean slow = !sentAt.isEmpty() && now() - sentAt.values().stream().mapToLong(t -> t).min().orElse(0) > config.makeMs();
+        hand.full(off || slow || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
     }
 
     private void changedSoon() {
@@ -198,6 +204,10 @@
                     count(Count.ENDED_FOR_OTHERS);
                 }
                 bundles.add(put.key(), put.write());
+            } else if (act instanceof Hand.Drop drop) {
+                if (bundles.drop(drop.key())) {
+                    hand.ended(now(), drop.key(), true);
+                }
             } else if (act instanceof Hand.Run run) {
                 count(Count.RECORDED);
                 owned.add(run.work().key());
@@ -217,7 +227,9 @@
 
     private void pump() {
         for (Bundles.Bundle b : bundles.due()) {
+            sentAt.put(b.id(), now());
             Writes.submit(store, b.write(), result -> loop.execute(() -> {
+                sentAt.remove(b.id());
                 Set<String> keys = bundles.ended(b.id(), result instanceof Store.Rejected);
                 if (result instanceof Store.Committed c) {
                     landed.add(new Landed(c.version(), keys));
