End what was stopped as failed, not as unsent; a client's leaving ends its run alone

Seen by reading: Keeper took a clock in doubt for no membership, which stopped what ran and, once the clock was right, took its records back as if nothing had been sent (Hand.own, turns 1 and nobody waiting). A client that left a request without a record left its key marked as running for ever (Guard.gone told the module, which tells nobody). A client whose request was answered "not known yet" and then left ended the recorded run of the same number. A record could be run with another body under the same key. Change: Hand remembers the turns that it ran; doubt bars new records and claims alone; Guard tells the three cases apart and compares digests.

--- a/src/main/java/reeldeal/fleet/work/Hand.java
+++ b/src/main/java/reeldeal/fleet/work/Hand.java
@@ -103,6 +103,8 @@
     private Fleet fleet = new Fleet(Map.of());
     private Member me;
     private boolean full;
+    private boolean doubt;
+    private final Map<String, Integer> begun = new HashMap<>(); // turns run here: parts of them may have been sent
     private Predicate<Work> remembered = w -> true;
 
     /** {@code look} reads a record out of this node's copy of the store, null where there is none. */
@@ -131,6 +133,7 @@
                 open.put(key, w);
             } else {
                 open.remove(key);
+                begun.remove(key);
             }
             one(now, key);
         }
@@ -139,7 +142,7 @@
     /** A client asks. */
     public void asked(long now, Asked request) {
         Waiting w = new Waiting(request, Math.min(request.until(), now + bounds.makeMs()));
-        boolean able = me != null && me.live() && !full && inHand() < bounds.open();
+        boolean able = me != null && me.live() && !full && !doubt && inHand() < bounds.open();
         if (look.apply(request.key()) == null && !able && !running.containsKey(request.key())) {
             without(w);
             return;
@@ -182,6 +185,11 @@
         one(now, key);
     }
 
+    /** Whether this machine's clock is in doubt: it makes no records and takes over none; those that it has still end. */
+    public void doubt(boolean now) {
+        doubt = now;
+    }
+
     /** Whether there is no room for further records; those that there are still end. */
     public void full(boolean now) {
         full = now;
@@ -227,7 +235,7 @@
     }
 
     private void claim(long now) {
-        if (me == null || me.state() != Fleet.State.SERVING) {
+        if (me == null || me.state() != Fleet.State.SERVING || doubt) {
             return;
         }
         long room = bounds.claims() - open.values().stream().filter(w -> mine(w) ? w.turns() > 1 : writing.containsKey(w.key())).count();
@@ -336,6 +344,11 @@
             running.put(key, true); // one that was begun alone has its record after all
             return;
         }
+        if (begun.getOrDefault(key, 0) == w.turns() && !againAt.containsKey(key)) {
+            ends.put(key, new Ended(End.FAILED, LATE)); // it was stopped, and parts of it may have been sent
+            put(now, key, end(w, Work.State.FAILED, LATE, now));
+            return;
+        }
         if (w.turns() == 1 && !waiting.containsKey(key)) {
             ends.put(key, new Ended(End.UNSENT, LATE)); // its client left, or was refused, before its record was made
             put(now, key, take(w));
@@ -346,6 +359,7 @@
             put(now, key, end(w, ruling == Takeover.Ruling.UNKNOWN ? Work.State.UNKNOWN : Work.State.FAILED, ruling == Takeover.Ruling.UNKNOWN ? "" : LATE, now));
         } else if (now >= againAt.getOrDefault(key, Long.MIN_VALUE) && !writing.containsKey(key)) {
             running.put(key, true);
+            begun.put(key, w.turns());
             acts.add(new Run(w, w.turns() == 1));
         }
     }
--- a/src/main/java/reeldeal/handover/Guard.java
+++ b/src/main/java/reeldeal/handover/Guard.java
@@ -194,8 +194,15 @@
     @Override
     public void gone(long id) {
         Client client = clients.remove(id);
-        if (client == null) {
+        String key = keys.get(id);
+        Run run = key == null ? null : runs.get(key);
+        if (client == null && run != null && run.id == id && run.recorded) {
+            return; // its client has been answered, and what is recorded runs on
+        } else if (client == null) {
             broker.gone(id);
+            if (run != null && run.id == id) {
+                ended(key, run, new Reply.Failed("its client has left"));
+            }
         } else {
             // What is recorded runs on: its client may come for the answer, here or elsewhere.
             state.execute(() -> keeper.gone(client.key(), id));
@@ -265,7 +272,8 @@
         if (klass < 0) {
             return; // a class of another configuration: its record ends by its time
         }
-        Client of = clients.values().stream().filter(c -> c.key().equals(work.key())).findFirst().orElse(null);
+        Client of = clients.values().stream().filter(c -> c.key().equals(work.key()) && Parcel.digest(c.request()).equals(work.digest())).findFirst()
+                .orElse(null);
         double wallAhead = System.currentTimeMillis() - broker.now();
         double until = work.until() - wallAhead;
         double ranFrom = first ? Double.POSITIVE_INFINITY : work.began() - config.errorMs() - wallAhead;
--- a/src/main/java/reeldeal/handover/Keeper.java
+++ b/src/main/java/reeldeal/handover/Keeper.java
@@ -118,7 +118,7 @@
 
     void view(Fleet fleet, Fleet.Member self) {
         room();
-        hand.view(now(), fleet, doubtful ? null : self);
+        hand.view(now(), fleet, self);
         perform();
     }
 
@@ -160,7 +160,8 @@
                     : "work: this node's clock is right again");
         }
         boolean slow = !sentAt.isEmpty() && now() - sentAt.values().stream().mapToLong(t -> t).min().orElse(0) > config.makeMs();
-        hand.full(off || slow || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
+        hand.doubt(off);
+        hand.full(slow || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
     }
 
     private void changedSoon() {
--- a/src/test/java/reeldeal/fleet/HandTest.java
+++ b/src/test/java/reeldeal/fleet/HandTest.java
@@ -92,6 +92,34 @@
         assertTrue(((Hand.Put) hand.take().get(0)).write().puts().get(Work.at("may")).contains("state=DONE"));
     }
 
+    @Test
+    public void whatWasStoppedIsNotTakenBackAsUnsent() {
+        member();
+        hand.asked(1_000, asked(1, "k", true));
+        copy.put("k", work("k", "a", 2, 5_000, Work.State.OPEN, 0));
+        hand.take();
+        hand.ended(1_010, "k", true);
+        hand.changed(1_010, copy.keySet());
+        assertEquals(List.of("Run"), acts());
+        hand.gone("k", 1);
+        Fleet fleet = fleet("a x SERVING");
+        hand.view(1_100, fleet, null);
+        assertEquals(List.of("Stop"), acts());
+        hand.view(1_200, fleet, fleet.members().get("a"));
+        assertTrue(((Hand.Put) hand.take().get(0)).write().puts().get(Work.at("k")).contains("state=FAILED"));
+    }
+
+    @Test
+    public void whoseClockIsInDoubtMakesNoRecordsAndTakesOverNone() {
+        hand.doubt(true);
+        copy.put("k", work("k", "dead", 1, 5_000, Work.State.OPEN, 0));
+        hand.changed(1_000, copy.keySet());
+        Fleet fleet = fleet("a x SERVING", "dead x LAPSED");
+        hand.view(1_000, fleet, fleet.members().get("a"));
+        hand.asked(1_000, asked(1, "new", true));
+        assertEquals(List.of("Refuse"), acts());
+    }
+
     @Test
     public void whoJoinsOneWithoutARecordIsToldHowItEnded() {
         hand.asked(1_000, asked(1, "k", false));
