--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -362,6 +362,7 @@
             if (b.serves()) {
                 try (ZoneClient client = new ZoneClient(b.dnsPort)) {
                     client.patience(1_500);
+                    history.add("s" + i, "listing", ""); // from here on a newer process of it may be listed
                     client.send(update);
                     client.read();
                     history.add("s" + i, "listed", "since=" + s.startedAt());
--- a/src/main/java/reeldeal/fleet/recovery/Losses.java
+++ b/src/main/java/reeldeal/fleet/recovery/Losses.java
@@ -11,7 +11,7 @@
  * What the leader makes of members that come back as other processes, and of those that do not: one broker, a zone, or everything. The
  * evidence is in the log, so that it outlives leaders: a registration names the one before, where that ended without a word. A lease
  * that ends says nothing of power, since a cut ends leases too; what counts is that most of those that are here were started
- * anew, and that these and those that are missing are more than a share of all. Only who was heard is in the leader's memory.
+ * anew, and that these and those that are missing are a share of all at the least. Only who was heard is in the leader's memory.
  */
 public class Losses {
     /** Written once it was judged that what came back so far was no matter of more than single brokers; its version counts. */
@@ -91,8 +91,8 @@
                 unheard++;
             }
         }
-        boolean is = anew + missing > plan.lost() * all && most(anew, all - missing - unheard);
-        boolean may = is || unheard > 0 && anew + missing + unheard > plan.lost() * all;
+        boolean is = anew + missing >= plan.lost() * all && most(anew, all - missing - unheard);
+        boolean may = is || unheard > 0 && anew + missing + unheard >= plan.lost() * all;
         if (all < 2 || anew == 0 || !may) {
             return new Verdict(Epoch.Kind.NONE, "", true, anew + missing, all, since);
         }
--- a/src/main/java/reeldeal/fleet/recovery/Plan.java
+++ b/src/main/java/reeldeal/fleet/recovery/Plan.java
@@ -10,7 +10,7 @@
  * @param good on-time share from which on the next step is taken, and {@code bad} below which one is taken back
  * @param least requests that a step's on-time share needs to say anything
  * @param idleMs after which a step with fewer requests goes on all the same
- * @param lost share of the members, of the fleet or of a zone, beyond which their loss is no matter of single brokers
+ * @param lost share of the members, of the fleet or of a zone, from which on their loss is no matter of single brokers
  * @param alone share that a broker serves from its old copy, with the group out of reach since its start
  */
 public record Plan(List<Double> shares, long dwellMs, double good, double bad, long least, long idleMs, double lost, double alone) {
