--- a/src/test/java/reeldeal/store/StoreTest.java
+++ b/src/test/java/reeldeal/store/StoreTest.java
@@ -84,6 +84,15 @@
             store.close();
             return null;
         });
+        // A closed channel's port is free once the loop has been back at its selector, which may be after the next task.
+        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+        for (boolean free = false; !free;) {
+            try (ServerSocket unused = new ServerSocket(nodes.get(node).getPort(), 1, InetAddress.getLoopbackAddress())) {
+                free = true;
+            } catch (BindException e) {
+                assertTrue("the port of " + node + " is still taken", System.nanoTime() < until);
+            }
+        }
     }
 
     private Store.Result write(Store store, String key, String value) throws Exception {
