See a zone's loss whose first broker is back early; halt a release that is just resumed

Checked: (1) Losses.of took the other five for alive, since they had beaten before they died and their leases stood; (2) Recovery.begin needs the release's version only where it runs in the leader's copy, so an operator's resume crosses it; (3) nobody back yet was judged to be no loss, while eleven of twelve had not been heard. Change: all have to be heard again after each process that comes back anew; the write that begins a recovery needs the release as it was seen; nobody back is no verdict while most are unheard. In the simulator a searcher that falls before it is up is started once, not twice; a zone's loss is checked.

--- a/src/main/java/reeldeal/fleet/recovery/Losses.java
+++ b/src/main/java/reeldeal/fleet/recovery/Losses.java
@@ -25,6 +25,7 @@
 
     private final Plan plan;
     private final Set<String> heard = new HashSet<>();
+    private long newest;
 
     public Losses(Plan plan) {
         this.plan = plan;
@@ -33,6 +34,7 @@
     /** This node leads from now on. */
     public void begin() {
         heard.clear();
+        newest = 0;
     }
 
     /** A process has answered since this node leads. */
@@ -48,6 +50,7 @@
     /** What happened, as far as is known. */
     public Verdict verdict(Fleet fleet) {
         Epoch epoch = Epoch.of(fleet);
+        hearAnew(fleet, epoch);
         Set<String> zones = new TreeSet<>();
         fleet.members().values().forEach(m -> zones.add(m.zone()));
         Verdict whole = of(fleet, epoch, Epoch.Kind.WHOLE, "", m -> true);
@@ -65,6 +68,18 @@
         return unsure == null ? whole : unsure;
     }
 
+    /**
+     * Who was heard before a process came back anew may have been lost with it, its lease not ended yet: all have to be heard once more.
+     * Judged without that, the first to be back within a lease's term was one loss by itself, and the zone's was never seen.
+     */
+    protected void hearAnew(Fleet fleet, Epoch epoch) {
+        long last = fleet.members().values().stream().filter(m -> unjudged(fleet, epoch, m)).mapToLong(Member::incarnation).max().orElse(0);
+        if (last > newest) {
+            newest = last;
+            heard.clear();
+        }
+    }
+
     private Verdict of(Fleet fleet, Epoch epoch, Epoch.Kind kind, String zone, Predicate<Member> which) {
         long judged = fleet.version(JUDGED);
         int all = 0;
@@ -91,9 +106,10 @@
                 unheard++;
             }
         }
-        boolean is = anew + missing >= plan.lost() * all && most(anew, all - missing - unheard);
+        boolean is = anew > 0 && anew + missing >= plan.lost() * all && most(anew, all - missing - unheard);
         boolean may = is || unheard > 0 && anew + missing + unheard >= plan.lost() * all;
-        if (all < 2 || anew == 0 || !may) {
+        // Nobody back yet says nothing while most have not been heard: who starts first after a loss must not be told that there was none.
+        if (all < 2 || anew == 0 && unheard == 0 || !may) {
             return new Verdict(Epoch.Kind.NONE, "", true, anew + missing, all, since);
         }
         return new Verdict(kind, zone, is, anew + missing, all, since);
--- a/src/main/java/reeldeal/fleet/recovery/Recovery.java
+++ b/src/main/java/reeldeal/fleet/recovery/Recovery.java
@@ -103,6 +103,8 @@
                 + (epoch.ended() ? "" : ", in recovery " + epoch.number()), verdict.since());
         Write write = fresh.write("recovery " + fresh.number() + " begins: " + (fresh.kind() == Epoch.Kind.ZONE ? "zone " + fresh.zone() + ", " : "")
                 + fresh.reason());
+        // An operator's word to go on may cross this write: it needs the release as it was seen, halted or not.
+        write.need(Fleet.RELEASE, fleet.version(Fleet.RELEASE));
         if (fleet.release() != null && (fleet.release().runs() || fleet.release().progress() == Progress.PAUSED)) {
             Write halt = Releases.by(fleet, Progress.HALTED, "power was lost: recovery " + fresh.number());
             write.needs().putAll(halt.needs());
--- a/src/test/java/reeldeal/fleet/FleetSimulation.java
+++ b/src/test/java/reeldeal/fleet/FleetSimulation.java
@@ -281,6 +281,7 @@
         boolean up = true;
         long since = 1;
         boolean ordered;
+        private int lives;
 
         Searcher(int i) {
             name = "s" + i;
@@ -289,7 +290,11 @@
 
         void restart(long down) {
             up = false;
+            int life = ++lives; // one that falls again before it is up has to be started anew
             after(down, () -> {
+                if (life != lives) {
+                    return;
+                }
                 up = true;
                 since = Math.max(since + 1, now);
                 ordered = false;
--- a/src/test/java/reeldeal/fleet/RecoverySimulationTest.java
+++ b/src/test/java/reeldeal/fleet/RecoverySimulationTest.java
@@ -24,7 +24,7 @@
  * whose start was part of a loss, nobody closed who served on, all open in bounded time, releases halted.
  */
 public class RecoverySimulationTest {
-    private static final int SEEDS = 25;
+    private static final int SEEDS = 40;
     private static final int MOST = 120;
     private static final Plan PLAN = Plan.DEFAULT;
     private static final long COLD_MS = 15_000;
@@ -62,6 +62,8 @@
         long badSince = -1;
         long wholeAt = -1;
         boolean lastEnough;
+        long zoneAt = -1;
+        boolean zoneEnough;
         int epochs;
         int back;
         long longest;
@@ -86,6 +88,12 @@
             if (zone == null) {
                 wholeAt = sim.now;
                 lastEnough = enough();
+            } else {
+                zoneAt = sim.now;
+                long of = sim.latest.members().values().stream().filter(m -> m.zone().equals(zone) && m.state() != Fleet.State.GONE).count();
+                long lost = sim.latest.members().values().stream().filter(m -> m.zone().equals(zone) && m.state() != Fleet.State.GONE
+                        && lostAt.getOrDefault(m.name(), -1L) == sim.now).count();
+                zoneEnough = of >= 3 && lost == of;
             }
         }
 
@@ -179,6 +187,7 @@
             sim.playTo(130_000);
             sim.check(epoch.ended(), "never ended: " + epoch);
             sim.check(epochAt >= wholeAt || !lastEnough, "everything was lost at " + wholeAt + ", and no epoch begun since: " + epoch);
+            sim.check(epochAt >= zoneAt || !zoneEnough, "a zone was lost at " + zoneAt + ", and no epoch begun since: " + epoch);
             sim.processes.values().stream().filter(p -> p.alive && p.serving && !p.paused && !p.cut).forEach(p -> sim.check(standings.get(p).share() == 1,
                     p.boot + " is not open: " + standings.get(p).describe()));
         }
@@ -228,6 +237,10 @@
                 return new Verdict(v.kind(), v.zone(), true, v.lost(), v.of(), v.since());
             }
         }));
+        broken.put("who was heard before the first came back is taken for alive", losses(() -> new Losses(PLAN) {
+            @Override
+            protected void hearAnew(Fleet fleet, Epoch epoch) { }
+        }));
         broken.put("any two losses are a loss of everything", losses(() -> new Losses(new Plan(PLAN.shares(), PLAN.dwellMs(), PLAN.good(), PLAN.bad(),
                 PLAN.least(), PLAN.idleMs(), 0.1, PLAN.alone())) {
             @Override
@@ -334,7 +347,7 @@
     @Test
     public void eachWayOfBreakingTheModuleIsFound() {
         broken().forEach((how, parts) -> assertNotNull("not found: " + how, Seeds.find(seed -> whole(seed, parts), MOST)));
-        assertEquals(12, broken().size());
+        assertEquals(13, broken().size());
     }
 
     /** By command: {@code run FROM TO} plays seeds, {@code broken MOST} says after how many each break is found. */
--- a/src/test/java/reeldeal/fleet/Seeds.java
+++ b/src/test/java/reeldeal/fleet/Seeds.java
@@ -40,14 +40,16 @@
 
     /** Plays seeds that all have to hold; {@code make} begins a world, {@code play} ends it. */
     static <W> void hold(long from, long to, LongFunction<W> make, Consumer<W> play, Function<W, List<String>> trace, Consumer<W> sum) {
-        for (long seed = from; seed <= to; seed++) {
-            W world = make.apply(seed);
-            try {
-                play.accept(world);
-            } catch (RuntimeException e) {
-                throw new AssertionError("seed " + seed + ": " + e + "\n" + String.join("\n", trace.apply(world)), e);
-            }
-            sum.accept(world);
+        for (long at = from; at <= to; at += AT_ONCE) {
+            LongStream.range(at, Math.min(at + AT_ONCE, to + 1)).parallel().mapToObj(seed -> {
+                W world = make.apply(seed);
+                try {
+                    play.accept(world);
+                } catch (RuntimeException e) {
+                    throw new AssertionError("seed " + seed + ": " + e + "\n" + String.join("\n", trace.apply(world)), e);
+                }
+                return world;
+            }).toList().forEach(sum);
         }
     }
 
