Take the middle of all members' clocks for the fleet's time, not the leader's

Need: after a loss one broker's clock may be ten minutes off. At fault: Muster told the leader's own clock with each answered beat, and whose offset was not yet known was taken for right.

--- a/src/main/java/reeldeal/handover/Guard.java
+++ b/src/main/java/reeldeal/handover/Guard.java
@@ -14,6 +14,7 @@
 import reeldeal.core.Port;
 import reeldeal.core.Reply;
 import reeldeal.core.Request;
+import reeldeal.core.Wall;
 import reeldeal.decide.Aggregator.QueryClass;
 import reeldeal.decide.Aggregator.Settings;
 import reeldeal.fleet.Fleet;
@@ -175,7 +176,7 @@
         long id = request.id();
         clients.put(id, new Client(request, key, reply));
         double left = request.giveUpAt() - broker.now();
-        long until = System.currentTimeMillis() + (long) left;
+        long until = Wall.now() + (long) left;
         Hand.Asked asked = new Hand.Asked(id, key, Parcel.digest(request), klass, settings.classes().get(request.klass()).worth(), until,
                 Parcel.body(request), mode == Mode.REQUIRED);
         // Whatever becomes of the record, the client has its answer within its time.
@@ -274,7 +275,7 @@
         }
         Client of = clients.values().stream().filter(c -> c.key().equals(work.key()) && Parcel.digest(c.request()).equals(work.digest())).findFirst()
                 .orElse(null);
-        double wallAhead = System.currentTimeMillis() - broker.now();
+        double wallAhead = Wall.now() - broker.now();
         double until = work.until() - wallAhead;
         double ranFrom = first ? Double.POSITIVE_INFINITY : work.began() - config.errorMs() - wallAhead;
         Request r = first && of != null ? of.request() : Parcel.request(work.body(), work.turns(), broker.nextRequest(), klass, until, ranFrom);
--- a/src/main/java/reeldeal/handover/Keeper.java
+++ b/src/main/java/reeldeal/handover/Keeper.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import reeldeal.core.Wall;
 import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Words;
 import reeldeal.fleet.Write;
@@ -64,6 +65,7 @@
     private String sweptTo = Work.ROOT;
     private boolean sweeping;
     private boolean doubtful;
+    private boolean timed; // this node is known to have the fleet's time
 
     /** What is counted for operators. */
     enum Count { RECORDED, TAKEN_OVER, ENDED_FOR_OTHERS, ALONE, REFUSED, DONE, FAILED, UNKNOWN, BARRED }
@@ -106,7 +108,7 @@
     }
 
     private static long now() {
-        return System.currentTimeMillis();
+        return Wall.now();
     }
 
     private Work look(String key) {
@@ -149,18 +151,20 @@
     // ---- what follows ----
 
     /**
-     * A wall clock that is off would make records whose times mislead others. While a write takes longer than a record may, further
+     * A wall clock that is off, or not known to be right yet, would make records whose times mislead others. While a write takes longer than a record may, further
      * ones would only wait behind it, to be given up: they are refused, or go on without, at once.
      */
     private void room() {
-        boolean off = wallOffMs.getAsLong() > config.errorMs();
+        long offMs = wallOffMs.getAsLong();
+        boolean off = offMs > config.errorMs();
+        timed = offMs >= 0 && !off;
         if (off != doubtful) {
             doubtful = off;
-            log.accept(off ? "work: this node's clock is " + wallOffMs.getAsLong() + " ms off the leader's; it makes no records and takes over none"
+            log.accept(off ? "work: this node's clock is " + offMs + " ms off the fleet's; it makes no records and takes over none"
                     : "work: this node's clock is right again");
         }
         boolean slow = !sentAt.isEmpty() && now() - sentAt.values().stream().mapToLong(t -> t).min().orElse(0) > config.makeMs();
-        hand.doubt(off);
+        hand.doubt(!timed);
         hand.full(slow || store.bytesUnder(Work.ROOT) > config.mostBytes() * ROOM);
     }
 
@@ -245,7 +249,7 @@
 
     /** The node that writes takes away what is kept no longer, a page of records after another, and sees to the quota. */
     private void sweep() {
-        if (!store.isWriter() || sweeping) {
+        if (!store.isWriter() || sweeping || !timed) { // by a clock that is ahead outcomes would go before their time
             return;
         }
         String quota = State.QUOTA + Work.ROOT.substring(0, Work.ROOT.length() - 1);
--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import reeldeal.core.Wall;
 import reeldeal.fleet.Fleet;
 import reeldeal.fleet.Words;
 import reeldeal.fleet.Write;
@@ -18,6 +19,7 @@
 import reeldeal.fleet.lead.Desk;
 import reeldeal.fleet.members.Leases;
 import reeldeal.fleet.members.Self;
+import reeldeal.fleet.members.Walls;
 import reeldeal.fleet.permits.Permits;
 import reeldeal.fleet.permits.Seen;
 import reeldeal.fleet.recovery.Epoch;
@@ -91,6 +93,8 @@
     private final List<BiConsumer<Fleet, Fleet.Member>> views = new ArrayList<>();
     private volatile long heldUntil = Long.MIN_VALUE;
     private long wallOffMs = Long.MIN_VALUE;
+    private long fleetAheadMs;
+    private final Walls walls = new Walls();
     private final Plan plan;
     private final Standing standing;
     private boolean heardGroup;
@@ -136,6 +140,7 @@
         store.whenWriting(() -> {
             view();
             nonce = store.session() + "-" + nowMs();
+            walls.begin();
             coordinator.begin(nowMs(), nowMs() - leaderSeenAt);
         });
         view();
@@ -289,7 +294,7 @@
         if (leader != null) {
             Health.Counts c = host.counts();
             store.tell(leader, TOPIC, new Words().with("beat", beat.incarnation()).with("by", leadersNonce).with("sent", beat.sentAt()).with("seen", beat.seen())
-                    .with("asked", c.asked()).with("late", c.late()).with("refused", c.refused()).with("attempts", c.attempts())
+                    .with("wall", Wall.now()).with("asked", c.asked()).with("late", c.late()).with("refused", c.refused()).with("attempts", c.attempts())
                     .with("failed", c.failed()).with("ejected", host.ejected().stream().limit(MOST_EJECTED)
                     .collect(java.util.stream.Collectors.joining(","))).toString().getBytes(StandardCharsets.UTF_8));
         }
@@ -301,11 +306,15 @@
             long incarnation = words.number("beat", 0);
             if (coordinator.beat(nowMs(), from, incarnation, words.number("seen", 0), new Health.Counts(words.number("asked", 0),
                     words.number("late", 0), words.number("refused", 0), words.number("attempts", 0), words.number("failed", 0)), Set.of(words.get("ejected").split(",")))) {
+                walls.keep(fleet.members().keySet());
+                if (words.number("wall", 0) > 0) { // an earlier program tells none
+                    walls.told(from, words.number("wall", 0), Wall.now());
+                }
                 Words answer = new Words().with("held", incarnation).with("sent", words.number("sent", 0));
                 if (words.get("by").equals(nonce)) {
                     coordinator.answered(from);
                 }
-                unanswered.add(() -> store.tell(from, TOPIC, answer.with("by", nonce).with("judged", coordinator.judged()).with("wall", System.currentTimeMillis()).toString().getBytes(StandardCharsets.UTF_8)));
+                unanswered.add(() -> store.tell(from, TOPIC, answer.with("by", nonce).with("judged", coordinator.judged()).with("wall", fleetClock()).toString().getBytes(StandardCharsets.UTF_8)));
                 answerSoon();
             }
         } else if (!words.get("held").isEmpty()) {
@@ -313,15 +322,24 @@
             leadersNonce = words.get("by");
             leaderJudged |= words.get("judged").equals("true") && words.number("held", 0) == self.incarnation();
             self.answered(now, words.number("held", 0), words.number("sent", 0));
-            // The leader told its clock between the beat's sending and now: what lies outside of that is error.
-            long wall = System.currentTimeMillis();
-            long leaders = words.number("wall", 0);
+            // The leader told the fleet's clock between the beat's sending and now: what lies outside of that is error.
+            long wall = Wall.now();
+            long fleets = words.number("wall", 0);
             long took = now - words.number("sent", 0);
-            wallOffMs = leaders == 0 ? Long.MIN_VALUE : Math.max(0, Math.max(leaders - wall, wall - took - leaders));
+            if (fleets > 0) { // else what was known before stands
+                wallOffMs = Math.max(0, Math.max(fleets - wall, wall - took - fleets));
+                fleetAheadMs = wallOffMs == 0 ? 0 : fleets > wall ? fleets - wall : fleets + took - wall;
+            }
             perform();
         }
     }
 
+    /** The fleet's clock as this leader knows it; 0 while it has heard too few to know. */
+    private long fleetClock() {
+        int live = (int) fleet.members().values().stream().filter(Fleet.Member::live).count();
+        return walls.enough(store.node(), live) ? Wall.now() + walls.fleetAhead(store.node()) : 0;
+    }
+
     /** Beats that came together are answered by one confirmation, asked for after they came. */
     private void answerSoon() {
         if (!answersPlanned) {
@@ -340,11 +358,16 @@
         return nowMs() < heldUntil;
     }
 
-    /** By how much this node's wall clock is off the leader's at the least, ms; negative where that is not known yet. */
+    /** By how much this node's wall clock is off the fleet's at the least, ms; negative where that is not known yet. */
     public long wallOffMs() {
         return wallOffMs;
     }
 
+    /** The fleet's wall clock as far as it is known here, Unix time in ms: this node's own, less what that is surely off. */
+    public long fleetWallMs() {
+        return Wall.now() + fleetAheadMs;
+    }
+
     /** What the log says of the fleet; on the loop. */
     public Fleet fleet() {
         return fleet;
--- a/src/main/java/reeldeal/serve/Member.java
+++ b/src/main/java/reeldeal/serve/Member.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import reeldeal.config.Config;
 import reeldeal.core.Event;
+import reeldeal.core.Wall;
 import reeldeal.decide.Aggregator.Layout;
 import reeldeal.decide.Aggregator.Listed;
 import reeldeal.decide.Learned;
@@ -81,7 +82,7 @@
 
             @Override
             public Map<String, Seen> searchers() {
-                return zones == null ? null : seen(zones, coldMs);
+                return zones == null ? null : seen(zones, coldMs, muster.fleetWallMs());
             }
 
             @Override
@@ -95,9 +96,8 @@
         return muster;
     }
 
-    private static Map<String, Seen> seen(ZoneDaemon zones, double coldMs) {
+    private static Map<String, Seen> seen(ZoneDaemon zones, double coldMs, double now) {
         Map<String, Seen> seen = new TreeMap<>();
-        double now = System.currentTimeMillis();
         for (Membership.Entry e : zones.view()) {
             if (e.searcher().listed() != Listed.GONE) {
                 // The fleet's own drain is no fact of the list: what the list says under it counts.
@@ -120,7 +120,7 @@
         Permits.Shards shards = new Permits.Shards(config.shards(), layout.cells(), layout.inARow());
         // Without a list on the store's side nothing speaks against a searcher but a loss of power that is not over.
         guard.remembered((wanted, began) -> zones == null ? Epoch.of(muster.fleet()).ended() : Memory.of(wanted, muster.fleet().searchers(),
-                seen(zones, config.settings().rules().coldMs()), shards, began, handover.errorMs()));
+                seen(zones, config.settings().rules().coldMs(), muster.fleetWallMs()), shards, began, handover.errorMs()));
         broker.guard(guard, guard::maySend);
         return guard;
     }
@@ -130,7 +130,7 @@
         List<Lessons.Left> left = state.next().submit(() -> store.under(Lessons.ROOT).entrySet().stream()
                 .map(e -> Lessons.of(e.getKey().substring(Lessons.ROOT.length()), e.getValue().text())).toList()).sync().getNow();
         Map<String, Event.Lesson> begin = new TreeMap<>();
-        Lessons.begin(store.node(), left, System.currentTimeMillis(), LESSON_AGE_MS).forEach((name, l) -> begin.put(name, new Event.Lesson(l.started(),
+        Lessons.begin(store.node(), left, Wall.now(), LESSON_AGE_MS).forEach((name, l) -> begin.put(name, new Event.Lesson(l.started(),
                 new Learned.Lesson(l.ejected(), l.silent(), l.slowness()))));
         if (!begin.isEmpty()) {
             Broker.log("begins with what was learned of " + begin.keySet());
@@ -147,7 +147,7 @@
                     now.put(name, new Lessons.Lesson((long) l.startedMs(), ejected, ejected && l.of().silent(), slowness));
                 }
             });
-            String value = lessons.due(System.currentTimeMillis(), now, ends);
+            String value = lessons.due(Wall.now(), now, ends);
             if (value != null) {
                 store.submit(List.of(), List.of(new Change(Lessons.ROOT + store.node(), value)), result -> { });
             }
