Ask others for a later start of the folder before a first vote; drill folders and clocks

Need: a folder put back from a copy was told apart by a look at the log once the group was heard. Seen in drill power-folders: b1 with an older folder votes b0 in (b2 is not up yet), and is told 0.7 s later. Change: before its first vote a voter asks all nodes how many of its starts their logs hold, committed or not, waits for the other voters, or 500 ms from the first it hears; Store withholds votes until then.

--- a/src/main/java/reeldeal/config/Scenario.java
+++ b/src/main/java/reeldeal/config/Scenario.java
@@ -28,11 +28,12 @@
  * @param onHalt what the operator orders once it has halted and the faults are over: {@code back} or {@code resume}
  * @param dropPct, delayPct, doublePct of frames between nodes, for as long as faults are on
  * @param faultsMs for how long faults go on, from the beginning of the release
+ * @param spares nodes that do not run until a {@code rebuild} puts one in the place of another
  * @param actions what is done when, in ms from the beginning of the release
  */
 public record Scenario(String name, int voters, int brokers, int searchers, int perSecond, Map<String, String> policy, boolean release,
         String find, String replace, String waves, long settleMs, long stepMs, String onHalt, int skewPct, int slowDiskMs, int dropPct, int delayPct, int doublePct, long faultsMs,
-        List<Action> actions, Keyed keyed, boolean slowDiskAll, Power power) {
+        List<Action> actions, Keyed keyed, boolean slowDiskAll, Power power, int spares) {
 
     /**
      * Losses of power.
@@ -65,14 +66,18 @@
      * {@code voter}, {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), {@code third}, or {@code seven} (in ten,
      * one of them a voter). {@code forget} has a searcher forget the keys that it ran. {@code power} takes all away, or
      * a zone with {@code who} {@code a} or {@code b}: brokers and searchers, which come back in any order within that time, {@code torn} with
-     * half a record at the end of each log.
+     * half a record at the end of each log; a majority of the voters comes back {@code lateMs} later. {@code keep} copies the folder of a
+     * node while it is down, {@code older} puts that copy back, {@code flip} changes one bit of its log, and {@code rebuild} has a spare take
+     * the place of such a node by operators' commands. {@code ahead} and {@code behind} have a node's wall clock be off by {@code forMs} from
+     * its next start on.
      */
-    public record Action(long atMs, String verb, String who, long forMs) { }
+    public record Action(long atMs, String verb, String who, long forMs, long lateMs) { }
 
     private static final Set<String> KNOWN = Set.of("name", "voters", "brokers", "searchers", "per_second", "release", "waves", "settle_ms",
-            "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count", "find", "replace",
+            "step_ms", "on_halt", "drop_pct", "delay_pct", "double_pct", "faults_ms", "actions.count", "find", "replace", "spares",
             "skew_pct", "slow_disk_ms", "slow_disk_all", "power.steps", "power.cold_ms", "power.strength", "power.press", "keyed.per_second", "keyed.window_ms", "keyed.service_ms", "keyed.term_ms", "keyed.die");
-    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill", "zone", "forget", "power", "torn");
+    private static final Set<String> VERBS = Set.of("kill", "pause", "cut", "deafen", "order", "terminate", "fill", "zone", "forget", "power", "torn", "keep",
+            "older", "flip", "rebuild", "ahead", "behind");
 
     /** Reads a scenario; throws Invalid naming the place of what is wrong. */
     public static Scenario read(Path file) throws Invalid {
@@ -104,7 +109,7 @@
                 throw new Invalid(file + ": " + at + "verb: expected one of " + VERBS + ", found " + verb);
             }
             actions.add(new Action(number(file, v, at + "at_ms", 0, 0, 600_000), verb, v.getOrDefault(at + "who", "any"),
-                    number(file, v, at + "for_ms", 3_000, 0, 600_000)));
+                    number(file, v, at + "for_ms", 3_000, 0, 600_000), number(file, v, at + "late_ms", 0, 0, 600_000)));
         }
         String onHalt = v.getOrDefault("on_halt", "resume");
         if (!onHalt.matches("resume|back")) {
@@ -122,7 +127,7 @@
                 (int) number(file, v, "keyed.term_ms", 3_000, 600, 60_000), handover, v.getOrDefault("keyed.die", "")),
                 v.getOrDefault("slow_disk_all", "false").equals("true"), new Power(v.containsKey("power.steps"), number(file, v, "power.cold_ms", 2_000, 0, 60_000),
                         (int) number(file, v, "power.strength", 40, 1, 100_000), (int) number(file, v, "power.press", 1, 1, 10),
-                        v.getOrDefault("power.steps", "off")));
+                        v.getOrDefault("power.steps", "off")), (int) number(file, v, "spares", 0, 0, 7));
     }
 
     private static long number(Path file, Map<String, String> v, String key, long otherwise, long least, long most) throws Invalid {
--- a/src/main/java/reeldeal/consensus/Members.java
+++ b/src/main/java/reeldeal/consensus/Members.java
@@ -27,7 +27,7 @@
     }
 
     /** Everybody. */
-    Set<String> all() {
+    public Set<String> all() {
         Set<String> all = new TreeSet<>(voters);
         all.addAll(learners);
         return all;
--- a/src/main/java/reeldeal/drill/Broker.java
+++ b/src/main/java/reeldeal/drill/Broker.java
@@ -6,6 +6,7 @@
 import java.io.InputStreamReader;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +30,7 @@
         this.port = port;
         this.storePort = storePort;
         this.dnsPort = dnsPort;
-        this.environment = environment;
+        this.environment = new HashMap<>(environment);
         this.history = history;
         install(program);
     }
@@ -39,6 +40,16 @@
         mostKb = kb;
     }
 
+    /** From its next start on it no longer ends by itself at any point. */
+    void endure() {
+        environment.computeIfPresent("JDK_JAVA_OPTIONS", (k, v) -> v.replaceAll(" ?-Dreeldeal\\.drill\\.die=\\S+", ""));
+    }
+
+    /** From its next start on its wall clock is ahead by so much. */
+    void ahead(long ms) {
+        environment.computeIfPresent("JDK_JAVA_OPTIONS", (k, v) -> v + " -Dreeldeal.drill.wall_off_ms=" + ms);
+    }
+
     boolean bounded() {
         return mostKb > 0;
     }
--- a/src/main/java/reeldeal/drill/Drill.java
+++ b/src/main/java/reeldeal/drill/Drill.java
@@ -38,6 +38,7 @@
     private final Path folder;
     private final History history;
     private final Map<String, Broker> brokers = new LinkedHashMap<>();
+    private final List<Broker> spares = new ArrayList<>();
     private final Map<String, FrameProxy> proxies = new HashMap<>();
     private final List<StandIn> searchers = new ArrayList<>();
     private final Map<String, Long> restartAt = new HashMap<>();
@@ -99,13 +100,15 @@
     }
 
     private void nodes(Path jar) throws IOException {
-        List<String> names = IntStream.range(0, scenario.voters() + scenario.brokers()).mapToObj(i -> "b" + i).toList();
+        int first = scenario.voters() + scenario.brokers();
+        List<String> names = IntStream.range(0, first + scenario.spares()).mapToObj(i -> "b" + i).toList();
+        List<String> founders = names.subList(0, first);
         voters.addAll(names.subList(0, scenario.voters()));
         ports = new Ports(3 * names.size());
         List<Integer> free = ports.free;
         for (String from : names) {
             for (String to : names) {
-                if (!from.equals(to) && (voters.contains(from) || voters.contains(to))) {
+                if (!from.equals(to) && founders.contains(to) && (voters.contains(from) || voters.contains(to) || !founders.contains(from))) {
                     proxies.put(from + ">" + to, new FrameProxy(free.get(names.indexOf(to)), random.nextLong()));
                 }
             }
@@ -116,18 +119,23 @@
             names.stream().filter(n -> proxies.containsKey(name + ">" + n)).forEach(n ->
                     nodes.append(",\"").append(n).append("\":\"127.0.0.1:").append(proxies.get(name + ">" + n).port()).append('"'));
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"group\":\"" + GROUP + "\",\"node\":\"" + name + "\",\"folder\":\""
-                    + folder.resolve(name) + "\",\"voters\":\"" + String.join(",", names.subList(0, scenario.voters())) + "\",\"nodes\":{" + nodes
+                    + folder.resolve(name) + "\",\"voters\":\"" + String.join(",", names.subList(0, scenario.voters())) + "\"" + (founders.contains(name) ? "" : ",\"joins\":\"true\"") + ",\"nodes\":{" + nodes
                     + "},\"dns\":{\"listen\":\"127.0.0.1:" + free.get(2 * names.size() + i) + "\",\"origin\":\"drill.test\",\"zone_file\":\""
                     + folder.resolve("zone") + "\",\"members\":{\"flap_limit\":100000}},\"fleet\":{\"zone\":\"" + (i % 2 == 0 ? "a" : "b")
                     + "\",\"term_ms\":" + scenario.keyed().termMs() + ",\"exit_wait_ms\":3000,\"recovery\":{\"steps\":\"" + scenario.power().steps() + "\"}}" + handover() + "}");
             int slow = i == 0 || scenario.slowDiskAll() ? scenario.slowDiskMs() : 0;
             double rate = 1 + scenario.skewPct() / 100.0 * (2 * random.nextDouble() - 1);
-            brokers.put(name, new Broker(name, free.get(names.size() + i), free.get(i),
+            Broker broker = new Broker(name, free.get(names.size() + i), free.get(i),
                     free.get(2 * names.size() + i), Broker.program(jar), Map.of("JDK_JAVA_OPTIONS",
                     "-Dreeldeal.drill.disk_ms=" + slow + " -Dreeldeal.drill.clock_rate=" + rate + (voters.contains(name) || scenario.keyed().die().isEmpty() ? ""
                     : " -Dreeldeal.drill.die=" + scenario.keyed().die()), "LB_CONFIG",
                     folder.resolve("broker.json").toString(), "LB_NAME", name, "LB_LISTEN", "127.0.0.1:" + free.get(names.size() + i),
-                    "REELDEAL_STORE", file.toString()), history));
+                    "REELDEAL_STORE", file.toString()), history);
+            if (founders.contains(name)) {
+                brokers.put(name, broker);
+            } else {
+                spares.add(broker);
+            }
         }
     }
 
@@ -278,6 +286,17 @@
             Thread.sleep(LOOK_MS / 2);
         }
         faults(0, 0, 0);
+        if (!scenario.keyed().die().isEmpty()) {
+            for (Broker b : brokers.values()) {
+                if (!voters.contains(b.name)) {
+                    b.endure();
+                    if (b.alive()) {
+                        b.kill();
+                    }
+                    restartAt.putIfAbsent(b.name, history.now() + 300);
+                }
+            }
+        }
         until(START_MS, "all that was paused or cut is well again", () -> {
             look();
             return healAt.isEmpty() && restartAt.isEmpty() && upAt.isEmpty() && untold.isEmpty();
@@ -375,22 +394,27 @@
         return false;
     }
 
+    private static String zoneOf(String broker) {
+        return Integer.parseInt(broker.substring(1)) % 2 == 0 ? "a" : "b";
+    }
+
     private void power(Scenario.Action a) throws Exception {
         boolean all = !a.who().matches("[ab]");
         history.add("drill", "power", "zone=" + (all ? "" : a.who()));
-        int i = 0;
+        List<String> mixed = new ArrayList<>(new java.util.TreeSet<>(voters));
+        java.util.Collections.shuffle(mixed, new java.util.Random(random.nextLong()));
+        List<String> late = a.lateMs() == 0 ? List.of() : mixed.subList(0, mixed.size() / 2 + 1);
         for (Broker b : brokers.values()) {
-            if (all || a.who().equals(i % 2 == 0 ? "a" : "b")) {
+            if (all || a.who().equals(zoneOf(b.name))) {
                 if (b.alive()) {
                     b.kill();
                 }
                 healAt.remove(b.name);
                 if (a.verb().equals("torn")) {
-                    tear(folder.resolve(b.name));
+                    Folders.tear(folder.resolve(b.name), random, history);
                 }
-                restartAt.put(b.name, history.now() + 200 + random.nextLong(Math.max(1, a.forMs())));
+                restartAt.put(b.name, history.now() + 200 + random.nextLong(Math.max(1, a.forMs())) + (late.contains(b.name) ? a.lateMs() : 0));
             }
-            i++;
         }
         for (int s = 1; s <= searchers.size(); s++) {
             if (all || a.who().equals(s % 2 == 0 ? "a" : "b")) {
@@ -402,16 +426,44 @@
         pressUntil = history.now() + 10_000;
     }
 
-    /** What a loss of power in the middle of a write may leave: the first bytes of a record at the end of the newest file of the log. */
-    private void tear(Path of) throws IOException {
-        try (java.util.stream.Stream<Path> files = Files.list(of)) {
-            Path log = files.filter(f -> f.getFileName().toString().startsWith("log")).max(java.util.Comparator.naturalOrder()).orElse(null);
-            if (log != null) {
-                byte[] half = new byte[1 + random.nextInt(6)];
-                Files.write(log, half, java.nio.file.StandardOpenOption.APPEND);
-                history.add(of.getFileName().toString(), "torn", log.getFileName() + " by " + half.length);
-            }
-        }
+    /** One node's folder changes while its process is down; it is started again after that. */
+    private void folderOf(Broker b, String verb) throws Exception {
+        if (b.alive()) {
+            b.kill();
+        }
+        Path of = folder.resolve(b.name);
+        history.add(b.name, verb, "");
+        if (verb.equals("keep")) {
+            Folders.keep(of);
+        } else if (verb.equals("older")) {
+            Folders.putBack(of);
+        } else {
+            Folders.flip(of, random, history);
+        }
+        restartAt.putIfAbsent(b.name, history.now() + 500);
+    }
+
+    /** What operators do with a node whose folder cannot be trusted: another, from an empty folder, takes its place by command. */
+    private void rebuild(Broker old) throws Exception {
+        Broker fresh = spares.remove(0);
+        boolean voted = voters.remove(old.name);
+        if (old.alive()) {
+            old.kill();
+        }
+        brokers.remove(old.name);
+        restartAt.remove(old.name);
+        healAt.remove(old.name);
+        history.add(old.name, "retired", "for " + fresh.name);
+        brokers.put(fresh.name, fresh);
+        must("store add " + fresh.name + " 127.0.0.1:" + fresh.storePort);
+        fresh.start();
+        until(START_MS, fresh.name + " has what the group has", () -> lines("fleet members").stream().anyMatch(m -> m.get("name").equals(fresh.name)
+                && m.get("state").equals("serving")));
+        must(voted ? "store replace " + old.name + " " + fresh.name : "store remove " + old.name);
+        if (voted) {
+            voters.add(fresh.name);
+        }
+        until(START_MS, old.name + " is forgotten", () -> order("fleet forget " + new Words().with("name", old.name).with("kind", "broker").with("reason", "rebuilt")));
     }
 
     private void look() {
@@ -500,6 +552,12 @@
                     restartAt.put(b.name, history.now() + a.forMs());
                 }
                 case "terminate" -> b.terminate();
+                case "keep", "older", "flip" -> folderOf(b, a.verb());
+                case "rebuild" -> rebuild(b);
+                case "ahead", "behind" -> {
+                    history.add(b.name, a.verb(), a.forMs() + " ms");
+                    b.ahead(a.verb().equals("ahead") ? a.forMs() : -a.forMs());
+                }
                 case "fill" -> {
                     long kb = 1;
                     try (java.util.stream.Stream<Path> files = Files.list(folder.resolve(b.name))) {
@@ -546,6 +604,10 @@
             return members.size() == brokers.size() && members.stream().allMatch(m -> m.get("state").equals("serving"))
                     && lines("fleet permits").stream().noneMatch(p -> p.get("kind").equals("broker"));
         });
+        until(START_MS, "the way back is over", () -> {
+            List<Words> recovery = lines("fleet recovery show"); // refused where there are no steps
+            return recovery.isEmpty() || !recovery.get(0).get("ended").equals("false");
+        });
         for (Words m : members) {
             String has = m.get(from == null ? "config" : "program");
             history.add(m.get("name"), "final", "state=" + m.get("state") + " is=" + (has.equals(from == null ? oldVersion : oldProgram) ? "old"
@@ -594,6 +656,9 @@
         for (Broker b : brokers.values()) {
             b.close();
         }
+        for (Broker b : spares) {
+            b.close();
+        }
         for (FrameProxy p : proxies.values()) {
             p.close();
         }
--- a/src/main/java/reeldeal/drill/StandIn.java
+++ b/src/main/java/reeldeal/drill/StandIn.java
@@ -20,7 +20,7 @@
 /** A searcher on loopback that answers every part after a moment. */
 public final class StandIn implements AutoCloseable {
     /**
-     * What a searcher bears: units a second once it is warm, a call and each of its parts being one; {@code from} of it as it starts; more
+     * What a searcher bears: parts a second once it is warm, as the rule on cold searchers counts; {@code from} of it as it starts; more
      * than {@code multiple} times what it can do then, for {@code fallMs}, pushes it over.
      */
     record Strength(int perSecond, long coldMs, double from, double multiple, long fallMs) { }
@@ -151,7 +151,7 @@
         double ramp = Math.min(1, strength.from() + (1 - strength.from()) * (now - startedAt) / strength.coldMs());
         double sum = 0;
         synchronized (lately) {
-            lately.add(new long[] {now, 1 + parts});
+            lately.add(new long[] {now, parts});
             while (lately.peek()[0] < now - strength.fallMs()) {
                 lately.poll();
             }
--- /dev/null
+++ b/src/main/java/reeldeal/muster/Vouching.java
@@ -0,0 +1,97 @@
+package reeldeal.muster;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import reeldeal.fleet.Fleet;
+import reeldeal.fleet.Words;
+import reeldeal.fleet.recovery.Vouch;
+import reeldeal.store.Change;
+import reeldeal.store.Store;
+
+/** Has a node ask what others know of its folder before it votes, and answers the same for others. Runs on the state loop. */
+public final class Vouching {
+    private static final char TOPIC = 'V';
+    private static final int ASK_MS = 50;
+    private static final int MOST_MS = 500; // within the time after which a node would stand for leadership anyway
+
+    private final EventLoop loop;
+    private final Store store;
+    private final long starts;
+    private Vouch vouch;
+    private Set<String> others = Set.of();
+    private ScheduledFuture<?> asking;
+
+    /** {@code starts} as the node's folder counts them, this one among them. */
+    public Vouching(EventLoop loop, Store store, long starts) {
+        this.loop = loop;
+        this.store = store;
+        this.starts = starts;
+    }
+
+    /** Begins; on the loop, before the store does. */
+    public void begin() {
+        store.onTold(TOPIC, this::told);
+        Set<String> voters = new TreeSet<>(store.members().voters());
+        if (voters.remove(store.node()) && !voters.isEmpty()) {
+            others = voters;
+            vouch = new Vouch(starts, voters, MOST_MS);
+            store.withholdVotes(true);
+            asking = loop.scheduleAtFixedRate(this::ask, ASK_MS, ASK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void ask() {
+        if (others.stream().anyMatch(v -> store.levelOf(v) > 0)) {
+            vouch.heard(nowMs());
+        }
+        // Those who only follow are asked as well: what they know counts, though nobody waits for them.
+        Set<String> all = new TreeSet<>(store.members().all());
+        all.remove(store.node());
+        all.forEach(n -> store.tell(n, TOPIC, new Words().with("asks", starts).toString().getBytes(StandardCharsets.UTF_8)));
+        judge();
+    }
+
+    private void judge() {
+        Vouch.Verdict verdict = vouch.verdict(nowMs());
+        if (verdict == Vouch.Verdict.WAIT || asking.isCancelled()) {
+            return;
+        }
+        asking.cancel(false);
+        if (verdict == Vouch.Verdict.WENT_BACK) {
+            store.distrust(vouch.why(store.node()));
+        } else {
+            store.withholdVotes(false);
+        }
+    }
+
+    private void told(String from, byte[] bytes) {
+        Words words = Words.of(new String(bytes, StandardCharsets.UTF_8));
+        if (!words.get("asks").isEmpty()) {
+            store.tell(from, TOPIC, new Words().with("knows", known(from)).toString().getBytes(StandardCharsets.UTF_8));
+        } else if (vouch != null && !words.get("knows").isEmpty()) {
+            vouch.told(nowMs(), from, words.number("knows", 0));
+            judge();
+        }
+    }
+
+    /** How many starts of a node stand in the log here, told or not yet. */
+    private long known(String node) {
+        String key = Fleet.BOOT + node;
+        String text = store.get(key);
+        long most = text == null ? 0 : Words.of(text).number("starts", 0);
+        for (Change c : store.untold()) {
+            if (c.key().equals(key) && c.value() != null) {
+                most = Math.max(most, Words.of(c.value()).number("starts", 0));
+            }
+        }
+        return most;
+    }
+}
--- a/src/main/java/reeldeal/serve/Main.java
+++ b/src/main/java/reeldeal/serve/Main.java
@@ -19,6 +19,7 @@
 import reeldeal.handover.Guard;
 import reeldeal.muster.FleetConfig;
 import reeldeal.muster.Muster;
+import reeldeal.muster.Vouching;
 import reeldeal.storage.Starts;
 import reeldeal.store.Change;
 import reeldeal.store.Store;
@@ -64,11 +65,15 @@
             Store store = storeFile == null ? null : new Store(state, storeFile.store(), Broker::log);
             ZonesConfig zones = storeFile == null ? null : storeFile.zones();
             ZoneDaemon daemon = zones == null ? null : new ZoneDaemon(state, store, zones);
+            FleetConfig fleet = storeFile == null ? null : storeFile.fleet();
+            long starts = fleet == null ? 0 : Starts.next(storeFile.store().folder());
+            if (fleet != null) {
+                state.next().submit(new Vouching(state.next(), store, starts)::begin).sync();
+            }
             if (store != null) {
                 store.start().sync();
             }
             EventLoopGroup group = new NioEventLoopGroup(1);
-            FleetConfig fleet = storeFile == null ? null : storeFile.fleet();
             String released = fleet == null ? null : Member.released(state, store);
             byte[] bytes = released != null ? released.getBytes(StandardCharsets.UTF_8) : file != null ? file : kept(state, store);
             Config config = Config.parse(bytes, System.getenv(), zones != null);
@@ -76,7 +81,7 @@
             if (file != null && store != null) {
                 keep(state, store, new String(file, StandardCharsets.UTF_8));
             }
-            Muster muster = fleet == null ? null : new Member(state, store, new FleetConfig.Counted(fleet, Starts.next(storeFile.store().folder())), broker, config,
+            Muster muster = fleet == null ? null : new Member(state, store, new FleetConfig.Counted(fleet, starts), broker, config,
                     new String(bytes, StandardCharsets.UTF_8), daemon).muster();
             Guard guard = storeFile == null || storeFile.handover() == null ? null : Member.guard(state, store, broker, muster, config, storeFile.handover(), daemon);
             Runnable leave = guard == null ? () -> { } : Member.learn(state, store, broker, storeFile.handover().learned());
--- a/src/main/java/reeldeal/store/Admin.java
+++ b/src/main/java/reeldeal/store/Admin.java
@@ -54,8 +54,7 @@
 
     /** The members that have not told that they know this program's level. */
     private Set<String> silent() {
-        Set<String> silent = new TreeSet<>(store.members().voters());
-        silent.addAll(store.members().learners());
+        Set<String> silent = new TreeSet<>(store.members().all());
         silent.removeIf(n -> store.levelOf(n) >= Side.LEVEL);
         return silent;
     }
@@ -102,7 +101,7 @@
     private void nodes(Store.Reply reply) {
         List<String> lines = new ArrayList<>();
         Members members = store.members();
-        for (String node : all(members)) {
+        for (String node : members.all()) {
             var standing = store.standing(node);
             String stands = !store.isWriter() ? "" : standing.heard() ? " heard behind=" + standing.behind() : " silent";
             lines.add(node + " " + (members.voters().contains(node) ? "voter" : "learner") + " " + store.addressOf(node) + " level="
@@ -112,12 +111,6 @@
         reply.tell(String.join("\n", lines));
     }
 
-    private static Set<String> all(Members members) {
-        Set<String> all = new TreeSet<>(members.voters());
-        all.addAll(members.learners());
-        return all;
-    }
-
     /** The address first, so that whoever leads next can speak to the node as well. */
     private void add(String node, String address, Store.Reply reply) {
         if (!node.matches("[A-Za-z0-9_.-]{1,64}") || !address.matches("127\\.[0-9.]+:[0-9]{1,5}")
--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -108,6 +108,7 @@
     private boolean closed;
     private boolean stepping;
     private boolean stuck;
+    private boolean votesWithheld;
     private Members linkedFor;
 
     /** Whether one flush serves all that came while the last was written; off only to measure what that is worth. */
@@ -137,7 +138,7 @@
         links = new Links(group, config.group(), config.node(), new Links.Receiver() {
             @Override
             public void consensus(Msg m) {
-                if (!closed && !halted) {
+                if (!closed && !halted && !(votesWithheld && (m instanceof Msg.VoteAsk || m instanceof Msg.StandNow))) {
                     raft.receive(m);
                     step();
                 }
@@ -193,7 +194,7 @@
         }
         group.next().schedule(this::tellOld, OLD_COPY_MS, TimeUnit.MILLISECONDS);
         group.next().scheduleAtFixedRate(() -> {
-            if (!closed && !halted) {
+            if (!closed && !halted && !(votesWithheld && raft.role() == Raft.Role.FOLLOWER)) {
                 raft.tick();
                 step();
             }
@@ -262,6 +263,24 @@
         return state.under(prefix).keySet().stream().limit(most).toList();
     }
 
+    /** Changes that this node's log holds beyond what it has told, committed or not. */
+    public List<Change> untold() {
+        List<Change> changes = new ArrayList<>();
+        for (Entry e : raft.entriesAfter(state.version())) {
+            try {
+                changes.addAll(e.data().length == 0 ? List.of() : State.decode(e.data()).changes());
+            } catch (IOException | State.LaterForm later) {
+                break; // what a later program wrote is not for this one to read
+            }
+        }
+        return changes;
+    }
+
+    /** Neither votes nor stands for leadership while this is on; follows whoever leads all the same. */
+    public void withholdVotes(boolean on) {
+        votesWithheld = on;
+    }
+
     /** The version up to which this node has told the log. */
     public long version() {
         return state.version();
@@ -410,7 +429,12 @@
             return;
         }
         if (side instanceof Side.Forward m && m.to().equals(config.node()) && links.knows(m.from())) {
-            Consumer<Result> answer = result -> links.send(m.from(), new Side.Forwarded(config.node(), m.from(), m.id(), result));
+            Consumer<Result> answer = result -> {
+                if (result instanceof Committed c) {
+                    raft.hasten(m.from(), c.version()); // who wrote it waits for its own copy to have it
+                }
+                links.send(m.from(), new Side.Forwarded(config.node(), m.from(), m.id(), result));
+            };
             try {
                 propose(State.decode(m.command()), answer);
             } catch (IOException | State.LaterForm e) {
@@ -534,7 +558,7 @@
     // ---- levels and nodes ----
 
     /** The level that a node has told, this one's own, or 0 where it has told none. */
-    int levelOf(String node) {
+    public int levelOf(String node) {
         return node.equals(config.node()) ? Side.LEVEL : links.level(node);
     }
 
--- a/src/test/java/reeldeal/drill/DrillTest.java
+++ b/src/test/java/reeldeal/drill/DrillTest.java
@@ -81,6 +81,21 @@
                 && e.who().equals("s12") && e.at() > lost && e.at() < listed).count());
     }
 
+    @Test
+    public void aVoterWhoseFolderWentBackIsToldApartBeforeItVotesAndReplacedByCommand() throws Exception {
+        List<History.Event> events = play("folders");
+        long lost = events.stream().filter(e -> e.what().equals("power")).mapToLong(History.Event::at).findFirst().orElseThrow();
+        List<History.Event> back = events.stream().filter(e -> e.rest().startsWith("store: this folder went back")).toList();
+        assertEquals(1, back.size());
+        assertEquals("b1", back.get(0).who());
+        long leads = events.stream().filter(e -> e.at() > lost && e.rest().contains(" leads, term ")).mapToLong(History.Event::at).findFirst().orElseThrow();
+        long third = events.stream().filter(e -> e.at() > lost && e.what().equals("start") && e.who().matches("b[02]")).mapToLong(History.Event::at).max().orElseThrow();
+        assertTrue("nobody leads before two others are there: " + leads + " " + third, leads > third);
+        assertEquals("torn logs are cut", 3, events.stream().filter(e -> e.rest().startsWith("store: cut a torn write")).count());
+        assertEquals("a spare serves in its place", List.of("b0", "b2", "b3", "b4"), events.stream().filter(e -> e.what().equals("final")
+                && e.rest().startsWith("state=serving")).map(History.Event::who).sorted().toList());
+    }
+
     private static List<History.Event> events(String... lines) {
         List<History.Event> events = new ArrayList<>();
         for (String line : lines) {
--- a/src/test/java/reeldeal/fleet/StandingTest.java
+++ b/src/test/java/reeldeal/fleet/StandingTest.java
@@ -4,12 +4,15 @@
 import static org.junit.Assert.assertTrue;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.junit.Test;
+import reeldeal.fleet.members.Walls;
 import reeldeal.fleet.recovery.Epoch;
 import reeldeal.fleet.recovery.Plan;
 import reeldeal.fleet.recovery.Recovery;
 import reeldeal.fleet.recovery.Standing;
+import reeldeal.fleet.recovery.Vouch;
 
 /** Where a broker stands on its way back, and what operators may order. */
 public class StandingTest {
@@ -31,6 +34,46 @@
         return standing.stage() + " " + standing.share();
     }
 
+    @Test
+    public void aLeaderWhoseClockIsWrongTellsTheFleetsAndNotItsOwn() {
+        Walls walls = new Walls();
+        assertEquals("alone it has its own", 0, walls.fleetAhead("a"));
+        walls.told("b", 600_000, 0);
+        assertEquals("one against one: its own", 0, walls.fleetAhead("a"));
+        walls.told("c", 600_030, 0);
+        walls.told("d", 599_990, 0);
+        assertEquals("three agree that it is ten minutes behind", 599_990, walls.fleetAhead("a"));
+        walls.told("a", 5, 0); // its own beat
+        walls.told("e", -900_000, 0);
+        assertEquals("the wrongest one changes little", 599_990, walls.fleetAhead("a"));
+        assertTrue(walls.enough("a", 9));
+        walls.keep(Set.of("a", "b"));
+        assertTrue("two of four say nothing", !walls.enough("a", 4) && walls.enough("a", 3));
+        assertEquals(0, walls.fleetAhead("a"));
+    }
+
+    @Test
+    public void aNodeVotesOnceTheOthersKnowNoLaterStartOfItsFolder() {
+        Vouch sound = new Vouch(3, Set.of("b", "c"), 500);
+        assertEquals("nobody is there to ask", Vouch.Verdict.WAIT, sound.verdict(60_000));
+        sound.told(60_000, "b", 2);
+        sound.told(60_010, "l", 1); // who only follows is not waited for
+        assertEquals(Vouch.Verdict.WAIT, sound.verdict(60_499));
+        assertEquals("c stays dead", Vouch.Verdict.SOUND, sound.verdict(60_500));
+        Vouch all = new Vouch(1, Set.of("b", "c"), 500);
+        all.told(10, "b", 0);
+        all.told(11, "c", 0);
+        assertEquals("a new node, and all have said so", Vouch.Verdict.SOUND, all.verdict(11));
+        Vouch older = new Vouch(2, Set.of("b", "c"), 500);
+        older.heard(5);
+        older.told(20, "l", 2);
+        assertEquals("one that only follows knows the same count", Vouch.Verdict.WENT_BACK, older.verdict(20));
+        older.told(21, "b", 1);
+        older.told(22, "c", 1);
+        assertEquals("it is final", Vouch.Verdict.WENT_BACK, older.verdict(600));
+        assertTrue(older.why("a"), older.why("a").startsWith("this folder went back: l knows start 2 of a, and this is start 2"));
+    }
+
     @Test
     public void aBrokerOpensWholeOnceItsStartIsJudgedAndNothingClosesItAfterThat() {
         Fleet quiet = fleet(null, "SERVING");
