Serve from the old copy where the group stays out of reach, muster late or not

Checked: no broker logs stage=alone, all log "going on from the copy here". At fault: a broker waits for that very copy before it reads its configuration and makes its Muster, which asks the store to be told of it (whenOld) when it has been told; Standing stays at GROUP, share 0. Change: whenOld runs at once where the old copy was told already.

--- a/src/main/java/reeldeal/store/Store.java
+++ b/src/main/java/reeldeal/store/Store.java
@@ -228,9 +228,12 @@
         }
     }
 
-    /** Runs this with the copy that lies here, where a start did not reach the group in time. */
+    /** Runs this with the copy that lies here, where a start did not reach the group in time; at once where that is so already. */
     public void whenOld(Consumer<State> run) {
         whenOld.add(run);
+        if (old != null) {
+            run.accept(old);
+        }
     }
 
     /** Whether {@link #getEvenOld} has an answer: the group was heard, or waited for in vain. */
