Take searchers for cold while the group is out of reach since the start

Checked: the old copy lists each searcher's start of before the loss, so that the module's credit for cold ones does not bind; Muster.stand told it of the loss only once a recovery was there. Change: who serves alone takes all searchers for started when that begins, as in a recovery. A single broker that starts without the group gives them less than they bear for their warm-up.

--- a/src/main/java/reeldeal/muster/Muster.java
+++ b/src/main/java/reeldeal/muster/Muster.java
@@ -102,6 +102,7 @@
     private boolean leaderJudged;
     private int brokersThere = -1;
     private long coldOf;
+    private boolean coldAlone;
     private final long starts;
     private boolean folderKnown;
     private String nonce = "";
@@ -231,6 +232,9 @@
         if (standing.coldOf() > coldOf) {
             coldOf = standing.coldOf();
             host.cold(standing.coldZone());
+        } else if (standing.stage() == Standing.Stage.ALONE && !coldAlone) {
+            coldAlone = true; // what the old copy lists may have been started with this process, by the same loss
+            host.cold("");
         }
         if (moved || there != brokersThere) {
             brokersThere = there;
