Take the times of a shutdown from the longest deadline, as the kill does

The node's log has no "stopped". Ruled out: a loop that stands still (its turns were counted, none beyond bounds), a request never read. Broker's four constants (0.5, 2.9, 0.6, 3.4 s) and drain()'s Math.max(longest, 3_000) took it for 3.7 s always. Change: ShutdownPlan holds all five times, made from the settings' longest deadline; at 3 s and more nothing moves.

--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -33,10 +33,6 @@
  * All of it runs on one event loop thread.
  */
 public final class Broker implements Port {
-    private static final double DRAIN_ACCEPT_MS = 500;
-    private static final double DRAIN_SERVE_MS = 2_900; // for which connections that are open are served
-    private static final double DRAIN_LATE_MS = 600; // what comes later than this ...
-    private static final double DRAIN_END_MS = 3_400; // ... is answered by then: a kill is 3.7 s away at least
     private static final long MAX_UNREAD = 8L << 20; // bytes of messages being read, for each front
     private static final int SWEEP_MS = 1_000;
     private static final double CONNECT_SHARE = 0.25; // of the shortest aim, for a connection to come up
@@ -44,6 +40,7 @@
     private final Config config;
     private final EventLoopGroup group;
     private final EventLoop loop;
+    private final ShutdownPlan shutdown;
     private final Clock clock = new Clock();
     private final Reducer reducer;
     private final Outlet searchers;
@@ -74,6 +71,7 @@
         this.group = group;
         this.loop = group.next();
         this.config = config;
+        this.shutdown = ShutdownPlan.of(config.settings().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElseThrow());
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
         Outlet frames = new Pool(group, new Pool.Bounds(config.partsPerConnection(), config.idleMs(),
                 connectTimeoutMs(config), config.sockets() / 4), config.settings().loadColumns(), clock::now,
@@ -166,18 +164,16 @@
      * would give, so that all is answered before the broker may be killed. Returns once nothing is left.
      */
     public void drain() throws InterruptedException {
-        double longest = config.settings().classes().stream().mapToDouble(c -> c.deadlineMs()).max().orElse(0);
         double began = clock.now();
-        double until = began + Math.max(longest, 3_000) + 600;
         drainBegan = began;
         loop.submit(() -> servers.forEach(HttpServer::keepIdle)).sync();
-        Thread.sleep((long) DRAIN_ACCEPT_MS);
+        Thread.sleep((long) shutdown.acceptMs());
         loop.submit(() -> servers.forEach(HttpServer::stopListening)).sync();
-        while (clock.now() < began + DRAIN_SERVE_MS && !loop.submit(this::idle).sync().getNow()) {
+        while (clock.now() < began + shutdown.serveMs() && !loop.submit(this::idle).sync().getNow()) {
             Thread.sleep(10);
         }
         loop.submit(() -> servers.forEach(HttpServer::stopServing)).sync();
-        while (clock.now() < until && !loop.submit(this::idle).sync().getNow()) {
+        while (clock.now() < began + shutdown.endMs() && !loop.submit(this::idle).sync().getNow()) {
             Thread.sleep(10);
         }
         loop.submit(() -> {
@@ -272,8 +268,8 @@
     public void submit(Request request, Consumer<Reply> reply) {
         replies.put(request.id(), tally == null ? reply : tally.asked(clock.now()
                 + config.settings().classes().get(request.klass()).aimMs(), reply, clock::now));
-        boolean late = clock.now() > drainBegan + DRAIN_LATE_MS;
-        event(new Event.Arrived(late ? request.until(drainBegan + DRAIN_END_MS) : request));
+        boolean late = clock.now() > drainBegan + shutdown.lateFromMs();
+        event(new Event.Arrived(late ? request.until(drainBegan + shutdown.answerByMs()) : request));
     }
 
     @Override
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -85,6 +85,7 @@
     private final List<String> log = new CopyOnWriteArrayList<>();
     private Discovery discovery;
     private Process program;
+    private long termAt;
     private Path folder;
     private boolean searchFront;
     private boolean store;
@@ -173,7 +174,15 @@
             }
             case "wait" -> Thread.sleep(Integer.parseInt(words[1]));
             case "sent" -> assertEquals(rest, String.valueOf(partsSent.getOrDefault(words[1], 0)));
-            case "term" -> program.destroy();
+            case "term" -> {
+                termAt = System.nanoTime();
+                program.destroy();
+            }
+            case "within" -> {
+                step(rest.split(" ", 3));
+                long took = (System.nanoTime() - termAt) / 1_000_000;
+                assertTrue("came " + took + " ms after SIGTERM", took <= Integer.parseInt(words[1]));
+            }
             case "hup" -> hup();
             case "config" -> Files.writeString(folder.resolve("config.json"),
                     Files.readString(folder.resolve("config.json")).replace(words[1], rest));
@@ -233,7 +242,11 @@
             config = config.replaceFirst("\"discovery\":\"[^\"]*\",", "");
         }
         if (!setting.isEmpty()) {
-            config = config.replace(setting, otherwise);
+            String[] pairs = (setting + " " + otherwise).split(" ", -1);
+            for (int i = 0; i < pairs.length; i += 2) {
+                assertTrue(pairs[i] + " is no setting", config.contains(pairs[i]));
+                config = config.replace(pairs[i], pairs[i + 1]);
+            }
         }
         ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx48m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
