Write no part after its window, its time or its client; reopen silent watches within 6 s

Checked by reading where an attempt is decided and where it is written: the module's Choice.mayAttempt leaves one turn (5 ms) of the window, Pool.take queues the call behind a dial of up to 250 ms, and channelActive wrote it whatever the time. On the same way a part whose client had left (Reducer.close took nothing back) or whose time was over was written, with a d= counted from the decision. Ruled out: a second attempt while one is out (the reducer bars it), the module's own arithmetic (RulesTest). Change: a Send bears `until` and `sendBy`; the pool looks at both, and reckons d=, in the moment of writing. An attempt of a request that is over is withdrawn where it is not yet written (Effect.Withdraw, ends NEVER_SENT, so no searcher is blamed). The way to searchers of the other form does the same: its body is made when it is written. Watch: it waited 20 s and gave up at 21.5 s, so what a silent one missed came up to 15 s after it counts as told under the new term (6 s whatever was allowed before). It waits 2.25 to 3 s by the instance's seed, gives up 1 s later, and after a failed call asks with a wait of 100 ms. An answer without a length ends where its connection does, a reset spoils it (it was read as empty, and the list asked for again for ever).

--- a/src/main/java/reeldeal/core/Effect.java
+++ b/src/main/java/reeldeal/core/Effect.java
@@ -8,8 +8,16 @@
     /** What a part of a second step says of the first: the shards that were in, and whether it was whole. */
     record FirstStep(List<Integer> in, boolean whole) { }
 
-    /** One part of a call. {@code first} is null in a first step. */
-    record Send(long part, int attempt, Request request, int shard, double waitMs, FirstStep first) { }
+    /**
+     * One part of a call. It is waited for until {@code until}, and not written after {@code sendBy}: times of the broker's clock,
+     * since a connection may come up long after the decision. {@code first} is null in a first step.
+     */
+    record Send(long part, int attempt, Request request, int shard, double until, double sendBy, FirstStep first) {
+        /** For how long it is still waited for, in milliseconds. */
+        public double left(double now) {
+            return Math.max(0, until - now);
+        }
+    }
 
     /** One call to one searcher. */
     record Call(Searcher searcher, List<Send> sends) implements Effect { }
@@ -17,6 +25,9 @@
     /** Stop waiting for an attempt. */
     record Abandon(long part, int attempt, boolean timedOut) implements Effect { }
 
+    /** Do not write an attempt that is not yet written: nobody waits for it. One that is out goes on. */
+    record Withdraw(long part, int attempt) implements Effect { }
+
     /** Ask a searcher how it is. */
     record Probe(Searcher searcher) implements Effect { }
 
--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -14,6 +14,7 @@
 import reeldeal.decide.Aggregator.Outcome;
 import reeldeal.decide.Aggregator.Part;
 import reeldeal.decide.Aggregator.Query;
+import reeldeal.decide.Aggregator.QueryClass;
 import reeldeal.decide.Aggregator.Server;
 import reeldeal.decide.Aggregator.Settings;
 import reeldeal.decide.Choice;
@@ -58,6 +59,7 @@
     private static final class AttemptState {
         final double at;
         boolean ended;
+        boolean neverRan;
 
         AttemptState(double at) {
             this.at = at;
@@ -266,6 +268,7 @@
             part.served = served;
         }
         Outcome outcome = outcome(e.end());
+        attempt.neverRan = outcome.neverRan();
         if (part.over && part.live == 0) {
             parts.remove(part.id);
         }
@@ -357,6 +360,7 @@
             return;
         }
         int number = part.attempts.size();
+        double sendBy = sendBy(part);
         part.attempts.add(new AttemptState(now));
         part.live++;
         boolean copyBarred = part.live > 1 && !settings.limits().secondCopies();
@@ -371,10 +375,26 @@
         double left = request.giveUpAt() - now;
         double wait = Math.max(0, timeoutMs == 0 ? left : Math.min(timeoutMs, left));
         sends.computeIfAbsent(server, s -> new ArrayList<>()).add(
-                new Effect.Send(partId, number, request, part.shard, wait, part.asked.first));
+                new Effect.Send(partId, number, request, part.shard, now + wait, sendBy, part.asked.first));
         effects.add(new Effect.Wake(wait, new Event.AttemptOverdue(partId, number)));
     }
 
+    /**
+     * Until when another attempt of a part may be written: of a keyed part that may have run, while repeats are dropped. Guards
+     * against a connection that comes up after the window in which the attempt was decided.
+     */
+    private double sendBy(PartState part) {
+        QueryClass klass = settings.classes().get(part.asked.request.klass());
+        if (klass.effect() != Aggregator.Effect.KEYED) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double ranFrom = part.asked.request.ranFrom();
+        for (AttemptState a : part.attempts) {
+            ranFrom = a.neverRan ? ranFrom : Math.min(ranFrom, a.at);
+        }
+        return ranFrom + klass.windowMs() - settings.turnMs();
+    }
+
     /** One turn's sends to one searcher form calls of at most the settings' batch. */
     private void formCalls() {
         int batch = settings.layout().batch();
@@ -464,6 +484,17 @@
 
     private void over(PartState part) {
         part.over = true;
+        for (int i = 0; i < part.attempts.size(); i++) {
+            int number = i;
+            if (part.attempts.get(i).ended) {
+                continue;
+            }
+            if (sends.values().stream().anyMatch(list -> list.removeIf(s -> s.part() == part.id && s.attempt() == number))) {
+                barred.add(new Event.AttemptEnded(part.id, number, new AttemptEnd.Barred(), new double[0]));
+            } else {
+                effects.add(new Effect.Withdraw(part.id, number));
+            }
+        }
         if (part.live == 0) {
             parts.remove(part.id);
         }
--- a/src/main/java/reeldeal/discovery/Watch.java
+++ b/src/main/java/reeldeal/discovery/Watch.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import reeldeal.core.Event;
@@ -13,13 +14,18 @@
 
 /**
  * Keeps asking discovery for what is newer than it has. Each answer is followed by the next call at once, so
- * that the watch never lapses; a reply that cannot be read leaves the list as it was.
+ * that the watch never lapses; a reply that cannot be read leaves the list as it was. A call that is not answered once its
+ * wait is over is given up with its connection, which may have fallen silent, and the next one hardly waits.
  */
 public final class Watch {
     private static final String PATH = "/catalog/members";
-    private static final int WAIT_MS = 20_000;
-    private static final int SLACK_MS = 1_500;
-    private static final int RETRY_MS = 100;
+    /** A change counts as told so long after discovery had it and could be reached, whether or not it arrived. */
+    static final int TOLD_MS = 6_000;
+    static final int WAIT_MS = TOLD_MS / 2; // a watch that falls silent is given up, and another one too, before that
+    static final int ANSWER_MS = 1_000; // in which discovery answers a call whose wait is over
+    static final int RETRY_MS = 100;
+    private static final int SHORT_WAIT_MS = 100; // of the call after a failed one, which only has to show that all is well
+    private static final double SPREAD = 0.25; // of waits, by which brokers that were told together ask apart
 
     private final EventLoopGroup group;
     private final HttpClient client;
@@ -27,14 +33,24 @@
     private final Consumer<Event> events;
     private final Consumer<String> log;
     private final Runnable heard;
+    private final SplittableRandom random;
+    private final int waitMs;
+    private boolean failed;
     private long index = -1;
     private boolean hasHeard;
     private boolean stopped;
     private String complaint = "";
 
     /** A watch at this address; {@code heard} is run once, just before the first list that it tells. */
-    public Watch(EventLoopGroup group, InetSocketAddress address, Consumer<Event> events, Consumer<String> log,
+    public Watch(EventLoopGroup group, InetSocketAddress address, long seed, Consumer<Event> events, Consumer<String> log,
             Runnable heard) {
+        this(group, address, seed, events, log, heard, WAIT_MS);
+    }
+
+    Watch(EventLoopGroup group, InetSocketAddress address, long seed, Consumer<Event> events, Consumer<String> log, Runnable heard,
+            int waitMs) {
+        this.random = new SplittableRandom(seed);
+        this.waitMs = waitMs;
         this.group = group;
         this.address = address;
         this.heard = heard;
@@ -54,9 +70,13 @@
             return;
         }
         boolean whole = index < 0;
-        // A call that does not wait is answered at once, so silence means that discovery is down.
-        client.call("GET", whole ? PATH : PATH + "?since=" + index + "&timeout_ms=" + WAIT_MS, Map.of(),
-                new byte[0], whole ? 1_000 : WAIT_MS + SLACK_MS, this::answered);
+        int wait = whole ? 0 : failed ? SHORT_WAIT_MS : spread(waitMs);
+        client.call("GET", whole ? PATH : PATH + "?since=" + index + "&timeout_ms=" + wait, Map.of(),
+                () -> new byte[0], wait + ANSWER_MS, this::answered);
+    }
+
+    private int spread(int ms) {
+        return (int) (ms * (1 - SPREAD * random.nextDouble()));
     }
 
     /** Asks no more. */
@@ -69,13 +89,14 @@
         if (stopped) {
             return;
         }
-        if (result instanceof HttpClient.Responded r && take(r.message())) {
+        failed = !(result instanceof HttpClient.Responded r && take(r.message()));
+        if (!failed) {
             group.next().execute(this::start);
         } else {
             if (result instanceof HttpClient.NoResponse none) {
                 complain(none.why());
             }
-            group.next().schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
+            group.next().schedule(this::start, spread(RETRY_MS), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/reeldeal/http/HttpClient.java
+++ b/src/main/java/reeldeal/http/HttpClient.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** A client of one server that asks one thing at a time on a kept connection. */
 public final class HttpClient {
@@ -52,17 +53,27 @@
         return written;
     }
 
-    /** Asks, and hands over exactly one result; the time-out covers connecting and waiting. */
-    public void call(String method, String target, Map<String, String> headers, byte[] body, long timeoutMs,
+    /**
+     * Asks, and hands over exactly one result; the time-out covers connecting and waiting. The body is asked for in the moment
+     * of writing; where there is none (null), nothing is written.
+     */
+    public void call(String method, String target, Map<String, String> headers, Supplier<byte[]> body, long timeoutMs,
             Consumer<Result> then) {
         waiting = then;
         written = false;
         timeout = group.next().schedule(() -> finish(null, "no answer in time"), timeoutMs,
                 TimeUnit.MILLISECONDS);
-        ByteBuf request = HttpWriter.request(method, target,
-                address.getHostString() + ":" + address.getPort(), headers, body);
+        Consumer<Channel> write = to -> {
+            byte[] bytes = body.get();
+            if (bytes == null) {
+                finish(null, "nothing left to ask");
+                return;
+            }
+            to.writeAndFlush(HttpWriter.request(method, target, address.getHostString() + ":" + address.getPort(), headers, bytes))
+                    .addListener(f -> written |= to == channel && f.isSuccess());
+        };
         if (channel != null && channel.isActive()) {
-            write(channel, request);
+            write.accept(channel);
             return;
         }
         parser = new HttpParser(true);
@@ -73,12 +84,10 @@
         channel = connecting.channel();
         connecting.addListener(f -> {
             if (channel != connecting.channel()) {
-                request.release();
                 connecting.channel().close();
             } else if (f.isSuccess()) {
-                write(connecting.channel(), request);
+                write.accept(connecting.channel());
             } else {
-                request.release();
                 finish(null, "could not connect");
             }
         });
@@ -93,14 +102,6 @@
         }
     }
 
-    private void write(Channel to, ByteBuf request) {
-        to.writeAndFlush(request).addListener(f -> {
-            if (to == channel && f.isSuccess()) {
-                written = true;
-            }
-        });
-    }
-
     private void finish(HttpMessage message, String why) {
         Consumer<Result> then = waiting;
         if (then == null) {
@@ -120,6 +121,8 @@
     }
 
     private final class Handler extends ChannelInboundHandlerAdapter {
+        private boolean reset;
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object read) {
             ByteBuf in = (ByteBuf) read;
@@ -143,12 +146,13 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
                 channel = null;
-                finish(null, "connection ended");
+                finish(reset ? null : parser.ended(), "connection ended");
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset = true;
             ctx.close();
         }
     }
--- a/src/main/java/reeldeal/http/HttpParser.java
+++ b/src/main/java/reeldeal/http/HttpParser.java
@@ -35,7 +35,7 @@
     /** The bytes are no message that can be taken; {@code status} is the answer that says so. */
     public record Malformed(int status, String why) implements Result { }
 
-    private enum Place { HEAD, LENGTH, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER }
+    private enum Place { HEAD, LENGTH, CHUNK_LINE, CHUNK, CHUNK_END, TRAILER, TO_THE_END }
 
     private final boolean responses;
     private byte[] buffer = new byte[KEPT];
@@ -99,6 +99,7 @@
                 case CHUNK -> chunk();
                 case CHUNK_END -> chunkEnd();
                 case TRAILER -> trailer();
+                case TO_THE_END -> toTheEnd();
             };
         }
         if (result instanceof Malformed bad) {
@@ -171,6 +172,10 @@
             return null;
         }
         if (length == null) {
+            if (responses && !head.second().matches("1..|204|304")) {
+                place = Place.TO_THE_END;
+                return null;
+            }
             return complete(new byte[0]);
         }
         if (!LENGTH.matcher(length).matches()) {
@@ -193,6 +198,21 @@
         return complete(body);
     }
 
+    /** A response without a length is over where its connection ends in order: {@link #ended}. */
+    private Result toTheEnd() {
+        return end - at > MAX_BODY ? new Malformed(413, "body too large") : needMore();
+    }
+
+    /** The message that is over because the other side has closed in order, or null where none is; a reset is no end. */
+    public HttpMessage ended() {
+        if (place != Place.TO_THE_END || failed != null || end - at > MAX_BODY) {
+            return null;
+        }
+        byte[] body = Arrays.copyOfRange(buffer, at, end);
+        at = end;
+        return complete(body).message();
+    }
+
     private Result chunkLine() {
         int lineEnd = lineEnd();
         if (lineEnd < 0 ? end - at > MAX_CHUNK_LINE : lineEnd - at > MAX_CHUNK_LINE) {
--- a/src/main/java/reeldeal/search/SearchOutlet.java
+++ b/src/main/java/reeldeal/search/SearchOutlet.java
@@ -49,6 +49,7 @@
     private final class Line {
         final HttpClient client;
         List<Effect.Send> waiting = new ArrayList<>();
+        boolean handed; // the call that is out was given to the socket
         double usedAt = clock.getAsDouble();
 
         Line(InetSocketAddress address) {
@@ -63,19 +64,32 @@
             call.sends().forEach(s -> end(s, new AttemptEnd.Broken(Reach.UNSENT, "no connection to be had")));
             return;
         }
-        List<Effect.Send> sends = fence == null ? call.sends() : call.sends().stream().filter(fence).toList();
-        call.sends().stream().filter(s -> !sends.contains(s)).forEach(s -> end(s, new AttemptEnd.Barred()));
-        if (sends.isEmpty()) {
-            return;
-        }
-        line.usedAt = clock.getAsDouble();
-        line.waiting = new ArrayList<>(sends);
-        double longest = sends.stream().mapToDouble(Effect.Send::waitMs).max().orElse(0);
+        double now = clock.getAsDouble();
+        line.usedAt = now;
+        line.waiting = new ArrayList<>(call.sends());
+        line.handed = false;
+        double longest = call.sends().stream().mapToDouble(s -> s.left(now)).max().orElse(0);
         line.client.call("POST", "/" + SearchWire.INDEX + "/_msearch",
-                Map.of("Content-Type", "application/x-ndjson"), SearchWire.call(sends),
+                Map.of("Content-Type", "application/x-ndjson"), () -> body(line),
                 (long) (longest + LATE_MS), result -> ended(line, result));
     }
 
+    /** What may still be written of a line's call; null where that is nothing. */
+    private byte[] body(Line line) {
+        double now = clock.getAsDouble();
+        List<Effect.Send> sends = new ArrayList<>();
+        for (Effect.Send send : line.waiting) {
+            if (send != null && now < Math.min(send.until(), send.sendBy()) && (fence == null || fence.test(send))) {
+                sends.add(send);
+            } else if (send != null) {
+                end(send, new AttemptEnd.Barred());
+            }
+        }
+        line.waiting = sends;
+        line.handed = true;
+        return sends.isEmpty() ? null : SearchWire.call(sends, now);
+    }
+
     private void ended(Line line, HttpClient.Result result) {
         List<Effect.Send> waiting = line.waiting;
         line.waiting = new ArrayList<>();
@@ -137,6 +151,21 @@
         }
     }
 
+    @Override
+    public void withdraw(Effect.Withdraw withdraw) {
+        for (List<Line> lines : List.copyOf(byAddress.values())) {
+            for (Line line : List.copyOf(lines)) {
+                for (int i = 0; i < line.waiting.size() && !line.handed; i++) {
+                    Effect.Send send = line.waiting.get(i);
+                    if (send != null && send.part() == withdraw.part() && send.attempt() == withdraw.attempt()) {
+                        line.waiting.set(i, null); // passed over when its connection is up
+                        end(send, new AttemptEnd.Barred());
+                    }
+                }
+            }
+        }
+    }
+
     @Override
     public void halt(Searcher searcher) {
         for (Line line : List.copyOf(byAddress.getOrDefault(searcher.address(), List.of()))) {
@@ -155,7 +184,7 @@
             events.accept(new Event.Probed(probe.searcher().name(), Outcome.CONNECT_FAILED, 0, new double[0]));
             return;
         }
-        line.client.call("GET", "/", Map.of(), new byte[0], (long) LATE_MS, result -> {
+        line.client.call("GET", "/", Map.of(), () -> new byte[0], (long) LATE_MS, result -> {
             line.usedAt = clock.getAsDouble();
             Outcome outcome = !(result instanceof HttpClient.Responded r) ? Outcome.TIMEOUT
                     : r.message().status() == 200 ? Outcome.OK : Outcome.ERROR;
--- a/src/main/java/reeldeal/search/SearchWire.java
+++ b/src/main/java/reeldeal/search/SearchWire.java
@@ -20,7 +20,7 @@
     private SearchWire() { }
 
     /** The body that asks for these parts; each names its shard by {@code preference}. */
-    static byte[] call(List<Effect.Send> sends) {
+    static byte[] call(List<Effect.Send> sends, double now) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(256 * sends.size());
         try (JsonGenerator json = JSON.createGenerator(out)) {
             for (Effect.Send send : sends) {
@@ -36,7 +36,7 @@
                 json.writeEndObject();
                 json.writeEndObject();
                 json.writeNumberField("size", 1);
-                json.writeStringField("timeout", (long) send.waitMs() + "ms");
+                json.writeStringField("timeout", (long) send.left(now) + "ms");
                 ext(json, send);
                 json.writeEndObject();
                 json.writeRaw('\n');
--- a/src/main/java/reeldeal/searchers/ByKind.java
+++ b/src/main/java/reeldeal/searchers/ByKind.java
@@ -32,6 +32,12 @@
         other.abandon(abandon);
     }
 
+    @Override
+    public void withdraw(Effect.Withdraw withdraw) {
+        frames.withdraw(withdraw);
+        other.withdraw(withdraw);
+    }
+
     @Override
     public void halt(Searcher searcher) {
         of(searcher).halt(searcher);
--- a/src/main/java/reeldeal/searchers/Frames.java
+++ b/src/main/java/reeldeal/searchers/Frames.java
@@ -79,14 +79,14 @@
         return send.request().name() + "." + send.shard() + (send.first() == null ? "" : ".f");
     }
 
-    /** One call. */
-    static ByteBuf call(List<Effect.Send> sends) {
+    /** One call, as it is written now. */
+    static ByteBuf call(List<Effect.Send> sends, double now) {
         ByteArrayOutputStream rest = new ByteArrayOutputStream(128 * sends.size());
         for (Effect.Send send : sends) {
             byte[] text = send.request().text().getBytes(StandardCharsets.UTF_8);
             StringBuilder line = new StringBuilder(96);
             line.append(partName(send)).append(' ').append(send.shard()).append(" d=")
-                    .append(Math.max(0, (long) send.waitMs()));
+                    .append(Math.max(0, (long) send.left(now)));
             if (send.request().idempotencyKey() != null) {
                 line.append(",k=").append(send.request().idempotencyKey());
             }
--- a/src/main/java/reeldeal/searchers/Outlet.java
+++ b/src/main/java/reeldeal/searchers/Outlet.java
@@ -13,6 +13,9 @@
     /** Stops waiting for an attempt; one that is not held here is passed over. */
     void abandon(Effect.Abandon abandon);
 
+    /** Does not write an attempt that is not yet written; one that is out, or not held here, is passed over. */
+    void withdraw(Effect.Withdraw withdraw);
+
     /** Starts nothing more at this searcher: what waits for a connection ends unsent. */
     void halt(Searcher searcher);
 
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -119,6 +119,15 @@
         }
     }
 
+    /** Takes an attempt back that still waits for its connection. */
+    @Override
+    public void withdraw(Effect.Withdraw withdraw) {
+        Connection connection = out.get(new Key(withdraw.part(), withdraw.attempt()));
+        if (connection != null) {
+            connection.withdraw(withdraw);
+        }
+    }
+
     /** Starts nothing more at this searcher: what waits for a connection ends unsent. */
     @Override
     public void halt(Searcher searcher) {
@@ -247,7 +256,8 @@
         }
 
         private void write(List<Effect.Send> asked) {
-            List<Effect.Send> sends = fence == null ? asked : asked.stream().filter(fence).toList();
+            double now = clock.getAsDouble();
+            List<Effect.Send> sends = asked.stream().filter(s -> now < Math.min(s.until(), s.sendBy()) && (fence == null || fence.test(s))).toList();
             for (Effect.Send barred : sends.size() == asked.size() ? List.<Effect.Send>of() : asked.stream().filter(s -> !sends.contains(s)).toList()) {
                 waiting.remove(Frames.partName(barred));
                 end(barred, new AttemptEnd.Barred(), "-");
@@ -256,8 +266,8 @@
                 return;
             }
             List<Out> outs = sends.stream().map(s -> waiting.get(Frames.partName(s))).toList();
-            outs.forEach(o -> o.handedAt = clock.getAsDouble());
-            channel.writeAndFlush(Frames.call(sends)).addListener(f -> outs.forEach(o -> o.written |= f.isSuccess()));
+            outs.forEach(o -> o.handedAt = now);
+            channel.writeAndFlush(Frames.call(sends, now)).addListener(f -> outs.forEach(o -> o.written |= f.isSuccess()));
         }
 
         void abandon(Effect.Abandon abandon) {
@@ -283,6 +293,18 @@
             }
         }
 
+        void withdraw(Effect.Withdraw withdraw) {
+            for (List<Effect.Send> call : queued) {
+                for (Effect.Send send : List.copyOf(call)) {
+                    if (send.part() == withdraw.part() && send.attempt() == withdraw.attempt()) {
+                        call.remove(send);
+                        waiting.remove(Frames.partName(send));
+                        end(send, new AttemptEnd.Barred(), "-");
+                    }
+                }
+            }
+        }
+
         /** Ends the connection at once, what is not yet sent on it included. */
         private void reset(String why) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/src/main/java/reeldeal/searchers/Practice.java
+++ b/src/main/java/reeldeal/searchers/Practice.java
@@ -12,8 +12,8 @@
     private Practice() { }
 
     /** Writes a call and reads an answer to each of its parts; the ends that come back. */
-    public static List<Event> answered(Effect.Call call) {
-        Frames.call(call.sends()).release();
+    public static List<Event> answered(Effect.Call call, double now) {
+        Frames.call(call.sends(), now).release();
         FrameBuffer frames = new FrameBuffer(4, Frames.MAX_FRAME);
         List<Event> ends = new ArrayList<>();
         for (Effect.Send send : call.sends()) {
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -120,7 +120,7 @@
     }
 
     private Watch watchAt(InetSocketAddress address, Runnable heard) {
-        return new Watch(group, address, event -> {
+        return new Watch(group, address, config.settings().seed(), event -> {
             if (discovered != null && event instanceof Event.Told told) {
                 discovered.accept(told);
             } else {
@@ -325,6 +325,8 @@
             searchers.call(call);
         } else if (effect instanceof Effect.Abandon abandon) {
             searchers.abandon(abandon);
+        } else if (effect instanceof Effect.Withdraw withdraw) {
+            searchers.withdraw(withdraw);
         } else if (effect instanceof Effect.Answer answer) {
             Consumer<Reply> reply = replies.remove(answer.request());
             if (reply != null) {
--- a/src/main/java/reeldeal/serve/Practice.java
+++ b/src/main/java/reeldeal/serve/Practice.java
@@ -101,7 +101,7 @@
         coming.clear();
         for (Effect effect : reducer.turn(now, events)) {
             if (effect instanceof Effect.Call call) {
-                coming.addAll(reeldeal.searchers.Practice.answered(call));
+                coming.addAll(reeldeal.searchers.Practice.answered(call, now));
             } else if (effect instanceof Effect.Wake wake && wake.delayMs() <= 0) {
                 coming.add(wake.due());
             } else if (effect instanceof Effect.Answer answer && replies.containsKey(answer.request())) {
--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -154,6 +154,39 @@
         assertEquals(before, reducer.remembered());
     }
 
+    @Test
+    public void whatIsNotYetWrittenOfARequestWhoseClientHasLeftIsTakenBack() throws Exception {
+        play(ask(1, 2));
+        assertEquals(1, all(reeldeal.core.Effect.Call.class).size());
+        play(new Event.ClientGone(1));
+        assertEquals(List.of(new reeldeal.core.Effect.Withdraw(1, 0), new reeldeal.core.Effect.Withdraw(2, 0)),
+                all(reeldeal.core.Effect.Withdraw.class));
+        play(ask(2, 2), new Event.ClientGone(2));
+        assertEquals("nothing is sent in the turn in which the client leaves", List.of(), all(reeldeal.core.Effect.Call.class));
+    }
+
+    @Test
+    public void anotherAttemptOfAKeyedPartMayBeWrittenWhileRepeatsAreDroppedAndAFirstOneAtAnyTime() {
+        QueryClass keyed = new QueryClass(1000, 0, 3000, 1, 0.5, Effect.KEYED, 600, 1, 1, 0.9, 0);
+        Reducer other = new Reducer(0, new Settings(7, 0, 1, 0, 5, false, new Layout(1, 1, 2, 68), List.of(keyed), List.of(), 0.1,
+                new Limits(4, false, true, false, 20, 1000), new Rules(500, 0.18, 18000, 2.5, 3000, 0, 0, 0, 10000), List.of()),
+                List.of("a"), List.of());
+        other.turn(0, List.of(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, Listed.READY),
+                new Searcher("t", "h:2", "a", "", 0, 0, 1, Listed.READY)))));
+        reeldeal.core.Effect.Call first = call(other.turn(100, List.of(ask(1, 1))));
+        assertEquals(Double.POSITIVE_INFINITY, first.sends().get(0).sendBy(), 0);
+        reeldeal.core.Effect.Call unsent = call(other.turn(200, List.of(new Event.AttemptEnded(1, 0, new AttemptEnd.Broken(
+                AttemptEnd.Reach.UNSENT, "never came up"), new double[0]))));
+        assertEquals("the first never ran", Double.POSITIVE_INFINITY, unsent.sends().get(0).sendBy(), 0);
+        reeldeal.core.Effect.Call again = call(other.turn(300, List.of(new Event.AttemptEnded(1, 1, new AttemptEnd.Broken(
+                AttemptEnd.Reach.SENT, "reset"), new double[0]))));
+        assertEquals(200 + 600 - 5, again.sends().get(0).sendBy(), 0);
+    }
+
+    private static reeldeal.core.Effect.Call call(List<reeldeal.core.Effect> effects) {
+        return (reeldeal.core.Effect.Call) effects.stream().filter(e -> e instanceof reeldeal.core.Effect.Call).findFirst().orElseThrow();
+    }
+
     @Test
     public void whatWasToGoToASearcherThatLeavesInTheSameTurnIsNotSent() {
         play(ask(1, 1), new Event.Told(ListKind.CHANGES, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1,
