End connections of clients in order: output first, what still comes read and dropped

Checked by reading and by tests over sockets: HttpServer closed resting connections and those of the last answer at once (context.close, ChannelFutureListener.CLOSE). Over bytes that came in that moment the system resets the connection, and what of an answer still lay in its buffer goes with it. Change: one way to end a connection: after what was written last, its output is shut, what comes is read and dropped up to a bound, and it closes with the client or 0.5 s later. Makes room for others: those that are ending go first. Ruled out: `unread` as a state of its own; the new way serves it too and the flag is gone. Result: three tests in HttpServerTest, all seen to fail without it ("Broken pipe", "Connection reset", a request that goes on after its client left).

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -31,8 +30,8 @@
 
     private static final byte[] FAULT = "the broker failed on this request\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] SLOW = "the request did not come whole in time\n".getBytes(StandardCharsets.US_ASCII);
-    private static final int LINGER_MS = 500; // for which a client may read the answer to what was not read
-    private static final int LINGER_BYTES = 256 * 1024; // of that which are read and dropped
+    private static final int LINGER_MS = 500; // for which a client may read what was written last, and close
+    private static final int DROPPED_BYTES = 256 * 1024; // that are read and dropped on a connection at most
     private static final int FIRST_MS = 2_000; // from connecting to the end of the first request
     private static final int MESSAGE_MS = 2_000; // from a later message's first byte to its last
     private static final int IDLE_MS = 4_000; // between requests
@@ -100,9 +99,8 @@
         long now = clock.getAsLong();
         Connection least = null;
         for (Connection c : connections) {
-            if (c.current == null && (c.asked || now - c.quietSince >= CROWDED_MS)
-                    && (least == null || !c.asked && least.asked
-                            || c.asked == least.asked && c.quietSince < least.quietSince)) {
+            if (c.current == null && (c.ended || c.asked || now - c.quietSince >= CROWDED_MS)
+                    && (least == null || c.use() < least.use() || c.use() == least.use() && c.quietSince < least.quietSince)) {
                 least = c;
             }
         }
@@ -130,12 +128,12 @@
         listener.close();
     }
 
-    /** Closes the connections on which nothing is asked; from now on each response ends its connection. */
+    /** Ends the connections on which nothing is asked; from now on each response ends its connection. */
     public void stopServing() {
         closing = true;
         for (Connection c : Set.copyOf(connections)) {
-            if (c.current == null && !c.parser.inMessage()) {
-                c.context.close();
+            if (c.current == null && !c.ended && !c.parser.inMessage()) {
+                c.end(c.context.newSucceededFuture());
             }
         }
     }
@@ -154,8 +152,7 @@
             }
         }
         if (!keepIdle && idle > Math.max(1, maxConnections / IDLE_PART)) {
-            forget(oldest);
-            oldest.context.close();
+            oldest.end(oldest.context.newSucceededFuture());
         }
     }
 
@@ -181,12 +178,11 @@
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
-        private final HttpParser parser = new HttpParser(false);
+        private HttpParser parser = new HttpParser(false);
         private ChannelHandlerContext context;
         private Pending current;
         private boolean asked;
-        private boolean unread;
-        private boolean ended;
+        private boolean ended; // nothing more is read as a request here
         private boolean pausing;
         private long quietSince = clock.getAsLong();
         private long messageSince;
@@ -208,11 +204,12 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf in = (ByteBuf) message;
             if (ended) {
-                // The last response is written. What still comes is dropped, up to a bound on the work it makes.
+                // What still comes is dropped, up to a bound on the work that it makes; read it is, since closing over
+                // unread bytes resets the connection, and since only who reads sees that a client has left.
                 dropped += in.readableBytes();
                 in.release();
-                if (dropped > LINGER_BYTES) {
-                    ctx.channel().config().setAutoRead(false);
+                if (dropped > DROPPED_BYTES) {
+                    ctx.close();
                 }
                 return;
             }
@@ -235,20 +232,27 @@
 
         /** Answers what cannot be read, or not in time, and reads no further request. */
         private void turnDown(int status, byte[] why) {
-            unread = true;
             current = new Pending(this, false);
             current.respond(status, Map.of("Content-Type", "text/plain"), why);
         }
 
         /** Begins the next request if none is being answered. */
         private void advance() {
-            if (current != null || pausing || !context.channel().isWritable()) {
-                // A client that sends ahead without end, or reads no answer, is not read on; it would fill the
-                // memory.
-                context.channel().config().setAutoRead(parser.hasRoom() && context.channel().isWritable());
+            if (ended) {
                 return;
             }
-            if (ended) {
+            if (current != null && !parser.hasRoom()) {
+                // Far more was sent ahead than anybody needs. Unread it would hide that the client leaves, and held it would
+                // fill the memory: the request at hand is answered, the rest goes with its connection.
+                ended = true;
+                heldBytes -= parser.heldBytes();
+                parser = new HttpParser(false);
+                heldBytes += parser.heldBytes();
+                return;
+            }
+            if (current != null || pausing || !context.channel().isWritable()) {
+                // A client that reads no answer, or sends nonsense fast, is not read on.
+                context.channel().config().setAutoRead(current != null || parser.hasRoom() && context.channel().isWritable());
                 return;
             }
             int before = parser.heldBytes();
@@ -263,7 +267,7 @@
                     // Exceptions stop at the connection; its client is still owed an answer.
                     new Pending(this, false).failed();
                 }
-                context.channel().config().setAutoRead(current == null || parser.hasRoom());
+                context.channel().config().setAutoRead(true);
             } else if (result instanceof HttpParser.Malformed bad) {
                 turnDown(bad.status(), (bad.why() + "\n").getBytes(StandardCharsets.UTF_8));
             } else {
@@ -289,6 +293,26 @@
             }
         }
 
+        /** How much would be lost with this connection: the less, the sooner it gives way. */
+        private int use() {
+            return ended ? 0 : asked ? 2 : 1;
+        }
+
+        /**
+         * Ends the connection once this is written: first its output, then, when the client has closed as well or has had its
+         * time, all of it. Until then what comes is read and dropped: closed over unread bytes, a connection is reset, and what
+         * was written last is lost with it. A request that is dropped here was never read; its client asks elsewhere.
+         */
+        private void end(ChannelFuture written) {
+            ended = true;
+            quietSince = clock.getAsLong();
+            context.channel().config().setAutoRead(true);
+            written.addListener(f -> {
+                ((SocketChannel) context.channel()).shutdownOutput();
+                context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            });
+        }
+
         private void goOn() {
             pausing = false;
             if (context.channel().isActive()) {
@@ -308,7 +332,7 @@
             } else if (inMessage && now - (asked ? messageSince + MESSAGE_MS : quietSince + FIRST_MS) >= 0) {
                 turnDown(408, SLOW);
             } else if (!inMessage && !(asked && keepIdle) && now - quietSince >= (asked ? IDLE_MS : FIRST_MS)) {
-                context.close();
+                end(context.newSucceededFuture());
             }
         }
 
@@ -352,21 +376,11 @@
                 return;
             }
             connection.current = null;
-            boolean close = !keepAlive || closing;
+            boolean close = !keepAlive || closing || connection.ended;
             ChannelFuture written = connection.context.writeAndFlush(
                     HttpWriter.response(status, headers, body, close));
-            connection.ended = close;
-            if (close && connection.unread) {
-                connection.quietSince = clock.getAsLong();
-                // To close on bytes that are not read resets the connection, and the answer may be lost with it.
-                written.addListener(f -> {
-                    ((SocketChannel) connection.context.channel()).shutdownOutput();
-                    connection.context.executor().schedule(() -> connection.context.close(), LINGER_MS,
-                            TimeUnit.MILLISECONDS);
-                });
-            } else if (close) {
-                connection.quietSince = clock.getAsLong();
-                written.addListener(ChannelFutureListener.CLOSE);
+            if (close) {
+                connection.end(written);
             } else {
                 connection.answered(status);
             }
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -12,7 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Before;
@@ -23,12 +25,17 @@
     private static final String HEAD = "POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
 
     private volatile long now;
+    private final BlockingQueue<Exchange> waiting = new LinkedBlockingQueue<>();
+    private final CountDownLatch left = new CountDownLatch(1);
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpServer server = new HttpServer(8, 100_000, (message, exchange) -> {
         if (message.path().equals("/fault")) {
             throw new IllegalStateException("a front's fault");
         }
-        if (!message.path().equals("/held")) {
+        if (message.path().equals("/later")) {
+            exchange.onGone(left::countDown);
+            waiting.add(exchange);
+        } else if (!message.path().equals("/held")) {
             exchange.respond(200, Map.of(),
                     String.valueOf(message.body().length).getBytes(StandardCharsets.US_ASCII));
         }
@@ -244,4 +251,53 @@
             awaitOpen(0);
         }
     }
+
+    @Test
+    public void aRequestOnAConnectionThatJustEndedIsDroppedUnreadAndTheConnectionIsNotReset() throws Exception {
+        try (Socket resting = client()) {
+            write(resting, "GET / HTTP/1.1\r\n\r\n");
+            assertEquals("HTTP/1.1 200", start(resting));
+            resting.getInputStream().readNBytes("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0".length() - 12);
+            group.next().submit(server::stopServing).sync();
+            assertEquals(-1, resting.getInputStream().read());
+            write(resting, "GET /later HTTP/1.1\r\n\r\n");
+            group.next().submit(() -> { }).sync();
+            write(resting, "GET /later HTTP/1.1\r\n\r\n"); // fails on a connection that was reset
+            assertEquals(-1, resting.getInputStream().read());
+            awaitOpen(0);
+            assertEquals("nothing was sent on", 0, waiting.size());
+        }
+    }
+
+    @Test
+    public void theLastAnswerOfAConnectionArrivesWholeThoughMoreWasSentBehindItsRequest() throws Exception {
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096); // most of the answer still lies with the server when it closes
+            socket.connect(server.address());
+            write(socket, "GET /later HTTP/1.1\r\n\r\n");
+            Exchange exchange = waiting.poll(20, TimeUnit.SECONDS);
+            group.next().submit(() -> {
+                server.stopServing();
+                try {
+                    write(socket, "GET /held HTTP/1.1\r\n\r\n".repeat(10)); // unread while this runs
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+                exchange.respond(200, Map.of(), new byte[300_000]);
+            }).sync();
+            awaitOpen(0); // without a close by the client: what it reads now lay there all the time
+            byte[] all = socket.getInputStream().readAllBytes();
+            assertTrue("came " + all.length, all.length > 300_000);
+        }
+    }
+
+    @Test
+    public void aClientThatSendsMuchAheadAndLeavesIsSeenToLeave() throws Exception {
+        try (Socket flood = client()) {
+            write(flood, "GET /later HTTP/1.1\r\n\r\n");
+            write(flood, "GET /held HTTP/1.1\r\n\r\n".repeat(8_000));
+        }
+        assertTrue("its request goes on", left.await(10, TimeUnit.SECONDS));
+        awaitOpen(0);
+    }
 }
