Count a request whose tenant is not told as nobody's; name settings by their own keys

Seen: by reading for constants that fit one deployment. Reducer.arrived handed every request to the module as tenant 0; with tenants in the settings all traffic fell under the first one's allowance and was refused by OVER_SHARE_AT. A deadline under its aim ended the program with "class.deadlineMs", a key that no customer knows; a negative MostHeld was taken and refused all.

--- a/src/main/java/reeldeal/config/SettingsParser.java
+++ b/src/main/java/reeldeal/config/SettingsParser.java
@@ -1,5 +1,6 @@
 package reeldeal.config;
 
+import reeldeal.decide.Aggregator;
 import reeldeal.decide.Aggregator.Effect;
 import reeldeal.decide.Aggregator.Layout;
 import reeldeal.decide.Aggregator.Limits;
@@ -14,6 +15,19 @@
 
 /** Turns path=value pairs into settings, for the wire and for the broker alike; a bad or missing one throws, naming its key. */
 public final class SettingsParser {
+    /** What the settings call the values whose range the module's type checks. */
+    private static final Map<String, String> KEYS = Map.ofEntries(Map.entry("instances", "Instances"), Map.entry("turnMs", "PeriodMs"),
+            Map.entry("layout.cells", "FamilyInfo.Cells, FamilyInfo.InARow"), Map.entry("layout.batch", "FamilyInfo.Batch"),
+            Map.entry("layout.callWorkMs", "FamilyInfo.PerCallWorkMs"), Map.entry("classes", "Categories"),
+            Map.entry("class.aimMs", "Categories[].AimMs"), Map.entry("class.deadlineMs", "Categories[].HardLimitMs"),
+            Map.entry("class.worth", "Categories[].Worth, Categories[].LateWorth"),
+            Map.entry("class.completeFrom", "FamilyInfo.CompleteFrom"), Map.entry("class.leastShare", "FamilyInfo.LeastShare"),
+            Map.entry("class.secondStep", "FamilyInfo.ClassFetch"), Map.entry("limits.maxAttempts", "PolicyLimits.MaxAttempts"),
+            Map.entry("limits.maxHeld", "PolicyLimits.MostHeld"), Map.entry("limits.maxComeBackMs", "PolicyLimits.MaxRetryAfterMs"),
+            Map.entry("rules.drainGraceMs", "Rules.DrainGraceMs"), Map.entry("rules.coldFrom", "Rules.ColdFrom"),
+            Map.entry("rules.fallMultiple", "Rules.ColdMs, Rules.FallMs, Rules.FallMultiple"),
+            Map.entry("rules.budgetMs", "Rules.LookBackMs, Rules.FreeResends, Rules.RepeatRatio"));
+
     private final Map<String, String> values;
 
     private SettingsParser(Map<String, String> values) {
@@ -49,12 +63,16 @@
             tenants.add(new Tenant(number("Orgs." + i + ".AllowancePerS")));
         }
         String columns = text("Telemetry.Columns", "");
-        return new Settings(seed, whole("SelfIndex"), whole("Instances"), whole("MyZone"), number("PeriodMs"),
-                text("Discovery", "pushed").equals("on_request"),
-                new Layout(whole("FamilyInfo.Cells"), whole("FamilyInfo.InARow"),
-                        (int) number("FamilyInfo.Batch", 1), number("FamilyInfo.PerCallWorkMs", 0)),
-                classes, tenants, number("OverShareWorth", 1), limits(), rules(),
-                columns.isEmpty() ? List.of() : List.of(columns.split(",")));
+        try {
+            return new Settings(seed, whole("SelfIndex"), whole("Instances"), whole("MyZone"), number("PeriodMs"),
+                    text("Discovery", "pushed").equals("on_request"),
+                    new Layout(whole("FamilyInfo.Cells"), whole("FamilyInfo.InARow"),
+                            (int) number("FamilyInfo.Batch", 1), number("FamilyInfo.PerCallWorkMs", 0)),
+                    classes, tenants, number("OverShareWorth", 1), limits(), rules(),
+                    columns.isEmpty() ? List.of() : List.of(columns.split(",")));
+        } catch (Aggregator.OutOfRange e) {
+            throw new IllegalArgumentException("setting out of range: " + KEYS.getOrDefault(e.setting, e.setting));
+        }
     }
 
     private QueryClass queryClass(int i, String at) {
--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -26,6 +26,7 @@
  * gets exactly one final answer in time. Used by one thread; it reads no clock and does no I/O.
  */
 public final class Reducer implements Aggregator.Actions {
+    private static final int NO_TENANT = -1; // no front is told whose a request is: none may count as one tenant's
     private static final double NAME_MS = 3_000; // for which a name that was used is not taken again
 
     private static final class Asked {
@@ -243,7 +244,7 @@
         held++;
         effects.add(new Effect.Wake(request.giveUpAt() - now - settings.turnMs(),
                 new Event.DeadlineDue(request.id())));
-        module.query(now, new Query(request.id(), request.klass(), 0, 0, request.giveUpAt(), request.retry(), request.ranFrom()),
+        module.query(now, new Query(request.id(), request.klass(), NO_TENANT, 0, request.giveUpAt(), request.retry(), request.ranFrom()),
                 told);
     }
 
--- a/src/main/java/reeldeal/decide/Aggregator.java
+++ b/src/main/java/reeldeal/decide/Aggregator.java
@@ -58,7 +58,7 @@
             Layout layout, List<QueryClass> classes, List<Tenant> tenants, double overShareWorth,
             Limits limits, Rules rules, List<String> loadColumns) {
 
-        /** Copies the lists and checks ranges; throws IllegalArgumentException naming the bad setting. */
+        /** Copies the lists and checks ranges; throws OutOfRange naming the bad setting. */
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
@@ -78,6 +78,8 @@
                 need(c.secondStep >= 0, "class.secondStep");
             }
             need(limits.maxAttempts >= 1, "limits.maxAttempts");
+            need(limits.maxHeld >= 1, "limits.maxHeld");
+            need(limits.maxComeBackMs >= 0, "limits.maxComeBackMs");
             need(rules.drainGraceMs >= 0, "rules.drainGraceMs");
             need(rules.coldFrom > 0 && rules.coldFrom <= 1, "rules.coldFrom");
             need(rules.coldMs >= 0 && rules.fallMs >= 0 && rules.fallMultiple > 0, "rules.fallMultiple");
@@ -86,13 +88,24 @@
 
         private static void need(boolean holds, String key) {
             if (!holds) {
-                throw new IllegalArgumentException("setting out of range: " + key);
+                throw new OutOfRange(key);
             }
         }
     }
 
+    /** A setting whose value is impossible, by the name that it has here. */
+    final class OutOfRange extends IllegalArgumentException {
+        private static final long serialVersionUID = 1L;
+        public final String setting;
+
+        OutOfRange(String setting) {
+            super("setting out of range: " + setting);
+            this.setting = setting;
+        }
+    }
+
     /**
-     * A query; {@code tenant} counts from 0 and is ignored where there are none. Parts of it may have been sent before, by whoever had
+     * A query; {@code tenant} counts from 0, is less where it is not known, and is ignored where there are none. Parts of it may have been sent before, by whoever had
      * it then, from {@code ranFromMs} on: infinite where none was.
      */
     record Query(long id, int klass, int tenant, long key, double giveUpAtMs, boolean retry, double ranFromMs) {
--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -183,6 +183,22 @@
         assertEquals(200 + 600 - 5, again.sends().get(0).sendBy(), 0);
     }
 
+    @Test
+    public void whereTheFrontIsNotToldWhoseARequestIsItCountsAsNoTenants() {
+        Settings tenants = new Settings(7, 0, 1, 0, 5, false, new Layout(1, 1, 2, 68), SETTINGS.classes(),
+                List.of(new reeldeal.decide.Aggregator.Tenant(0.001), new reeldeal.decide.Aggregator.Tenant(100)), 0.1,
+                SETTINGS.limits(), SETTINGS.rules(), List.of());
+        Reducer other = new Reducer(0, tenants, List.of("a"), List.of());
+        other.turn(0, List.of(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, Listed.READY)))));
+        List<reeldeal.core.Effect> done = new ArrayList<>();
+        for (long id = 1; id <= 9; id++) {
+            List<reeldeal.core.Effect> turn = other.turn(400 * id, List.of(new Event.Arrived(new Request(id, "q" + id, 0, null,
+                    400 * id + 560, false, "x", List.of(new Request.Piece(0, 1, 0))))));
+            done.addAll(turn);
+        }
+        assertTrue("refused as the first tenant's", done.stream().noneMatch(e -> e instanceof reeldeal.core.Effect.Answer));
+    }
+
     private static reeldeal.core.Effect.Call call(List<reeldeal.core.Effect> effects) {
         return (reeldeal.core.Effect.Call) effects.stream().filter(e -> e instanceof reeldeal.core.Effect.Call).findFirst().orElseThrow();
     }
