Reckon a cold server's budget by half of the listed, not by the few that are warm

Seen: thirty roots of the real module in virtual time, all searchers replaced at once under load: a cold one was sent within 3 requests of the bound N + 2 x root of N + 2 (N is 104 there); roots that had restarted just then kept 55 away from it. Ruled out: chance and credits that add up (the restarted ones have both). Cause: Choice.creditRate shares out the work that a root saw done over the servers that are warm now. Where most have just been replaced, all of the fleet's work counted as that of a few, or of one. Change: over half of the listed servers at least.

--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -804,7 +804,7 @@
         double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * Math.min(1, age / rules.coldMs());
         freshPaces();
         completed(0);
-        double own = doneUnits / (2 * aim) / Math.max(1, warm);
+        double own = doneUnits / (2 * aim) / Math.max(1, Math.max(warm, listed / 2));
         return COLD_CARE * rules.fallMultiple() * ramp * Math.max(own, toldShare());
     }
 
--- a/src/test/java/reeldeal/decide/Fleet.java
+++ b/src/test/java/reeldeal/decide/Fleet.java
@@ -291,4 +291,20 @@
         }
         return worst;
     }
+
+    /**
+     * By how many requests of mean work a searcher was sent more, in any window of the rules' length, than N and the 2 x root of
+     * N + 2 that are put down to chance; negative where never. N is this share of what the settings allow it then.
+     */
+    double mostBeyondChance(Searcher s, double share) {
+        double most = Double.NEGATIVE_INFINITY;
+        for (int i = 0, j = 0; j < s.sentAt.size(); j++) {
+            while (s.sentAt.get(j) - s.sentAt.get(i) > RULES.fallMs()) {
+                i++;
+            }
+            double n = share * RULES.fallMultiple() * s.share(s.sentAt.get(i)) * CORES * RULES.fallMs() / (CALL + PART);
+            most = Math.max(most, j - i + 1 - (n + 2 * Math.sqrt(n) + 2));
+        }
+        return most;
+    }
 }
--- a/src/test/java/reeldeal/decide/FleetTest.java
+++ b/src/test/java/reeldeal/decide/FleetTest.java
@@ -10,6 +10,7 @@
 /** What a hundred roots do together, each for itself, to sixty searchers. */
 class FleetTest {
     private static final int ROOTS = 100, HELD = 85;
+    private static final double CARE = 0.75; // of the rules' budget: beside chance a part of it stays unused
 
     @Test
     void onACalmDayUnevenRootsAreServedInTimeWithoutProbesOrListCalls() {
@@ -33,6 +34,30 @@
         checkCold(2, true);
     }
 
+    /** What thirty roots send adds up as well, their credits and their chances; a searcher bears only so much by chance. */
+    @Test
+    void thirtyRootsTogetherKeepColdSearchersBudgetRestartedOrNot() {
+        for (long seed = 1; seed <= 2; seed++) {
+            for (boolean restart : new boolean[] {false, true}) {
+                Fleet fleet = new Fleet(seed, 30, HELD * ROOTS / 30);
+                fleet.load(900, 9000);
+                fleet.run(2000);
+                List<Fleet.Searcher> cold = new ArrayList<>();
+                for (int i = 0; i < Fleet.CELLS * Fleet.PER_CELL; i++) {
+                    cold.add(fleet.replace(i)); // all holders: there is nowhere else to send
+                }
+                for (int i = 0; restart && i < 21; i++) {
+                    fleet.restart(i);
+                }
+                fleet.run(10_000);
+                for (Fleet.Searcher s : cold) {
+                    double beyond = fleet.mostBeyondChance(s, CARE);
+                    assertTrue(beyond <= 0, "seed " + seed + " restart " + restart + ": " + s.id + " by " + beyond);
+                }
+            }
+        }
+    }
+
     private static void checkCold(long seed, boolean restart) {
         Fleet fleet = new Fleet(seed, ROOTS, HELD);
         fleet.load(400, 9000);
