Rename what hid standard terms in the code touched; no change of behaviour

Practice is WarmUp (and CodecWarmUp beside the searchers' frames), Catalog is MemberList, Opening is RecoveryAdmission, Held is RootState. Left: `muster`, `Port` (a port of ports and adapters) and the module's roots and leaves, which the repair did not touch or which are terms already.

--- a/src/main/java/reeldeal/config/Config.java
+++ b/src/main/java/reeldeal/config/Config.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import reeldeal.core.Searcher;
 import reeldeal.decide.Aggregator.Settings;
-import reeldeal.discovery.Catalog;
+import reeldeal.discovery.MemberList;
 
 /**
  * All that a broker is told at its start, read, checked and given defaults here and nowhere else. What the
@@ -63,7 +63,7 @@
                 json.nextToken();
                 if (field.equals("known") && json.currentToken() != JsonToken.VALUE_NULL) {
                     try {
-                        known = Catalog.read(json).searchers();
+                        known = MemberList.read(json).searchers();
                     } catch (JsonProcessingException e) {
                         throw e;
                     } catch (IOException e) {
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -8,11 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import reeldeal.decide.Held.Attempt;
-import reeldeal.decide.Held.Call;
-import reeldeal.decide.Held.Leaf;
-import reeldeal.decide.Held.PartState;
-import reeldeal.decide.Held.QueryState;
+import reeldeal.decide.RootState.Attempt;
+import reeldeal.decide.RootState.Call;
+import reeldeal.decide.RootState.Leaf;
+import reeldeal.decide.RootState.PartState;
+import reeldeal.decide.RootState.QueryState;
 
 /**
  * Every decision of a root: which replica gets each part, time-outs, further attempts, health, warm-up,
@@ -56,7 +56,7 @@
     private static final double STALL = 3; // such waits without a turn: the root itself stood still
     static final double ROUNDING = 1e-5; // by which sums of weights may fall short
 
-    // ---- state: its parts stand in Held ----
+    // ---- state: its parts stand in RootState ----
 
     private final Settings settings;
     private final Rules rules;
@@ -71,7 +71,7 @@
     private final LinkedHashMap<Long, Double> unserved = new LinkedHashMap<>();
     private final ArrayDeque<double[]> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> further = new ArrayDeque<>();
-    private final Opening opening;
+    private final RecoveryAdmission recoveryAdmission;
     private final int[] typicalSeen;
     private final double[] typical, tenantLevel, tenantAt;
     private double takenCount, clock, sound = 1, pacesAt = -1;
@@ -86,7 +86,7 @@
         this.rules = settings.rules();
         this.actions = actions;
         this.clock = now;
-        this.opening = new Opening(settings.classes(), settings.seed(), settings.limits().maxComeBackMs());
+        this.recoveryAdmission = new RecoveryAdmission(settings.classes(), settings.seed(), settings.limits().maxComeBackMs());
         this.aim = settings.classes().stream().mapToDouble(QueryClass::aimMs).min().orElseThrow();
         this.typical = new double[settings.layout().batch()];
         this.typicalSeen = new int[typical.length];
@@ -163,9 +163,9 @@
         addParts(q, given);
         longest = Math.max(longest, 1 + q.all.size());
         limits(q);
-        boolean let = opening.lets(told.klass());
+        boolean let = recoveryAdmission.lets(told.klass());
         if (!let || !admitted(q)) {
-            double comeBack = let ? aim / 4 : opening.comeBackMs();
+            double comeBack = let ? aim / 4 : recoveryAdmission.comeBackMs();
             actions.refuse(told.id(), Math.min(settings.limits().maxComeBackMs(), comeBack));
             unserved(q);
             end(q);
@@ -186,8 +186,8 @@
     }
 
     /** Which queries are let in while a fleet comes back. */
-    public Opening opening() {
-        return opening;
+    public RecoveryAdmission recoveryAdmission() {
+        return recoveryAdmission;
     }
 
     /** Servers that are remembered. */
@@ -816,7 +816,7 @@
     private double toldShare() {
         int most = settings.limits().maxHeld();
         return most == Integer.MAX_VALUE || most <= HELD_LEAST * longest ? 0
-                : (1 + callUnits()) * most / HELD_MS / Math.max(1, listed) * opening.fellows();
+                : (1 + callUnits()) * most / HELD_MS / Math.max(1, listed) * recoveryAdmission.fellows();
     }
 
     // ---- admission ----
--- a/src/main/java/reeldeal/decide/Learned.java
+++ b/src/main/java/reeldeal/decide/Learned.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import reeldeal.decide.Held.Leaf;
+import reeldeal.decide.RootState.Leaf;
 
 /** What one root has learned of servers, for another that starts after it; nothing is decided here. */
 public final class Learned {
--- a/src/main/java/reeldeal/decide/Opening.java
+++ b/src/main/java/reeldeal/decide/RecoveryAdmission.java
@@ -8,7 +8,7 @@
  * Which queries a root lets in while its fleet comes back: a share of what comes, the classes of most worth first, by the mix that it
  * sees. What it lets in still has to pass the module's own admission. Whole unless it is told otherwise.
  */
-public final class Opening {
+public final class RecoveryAdmission {
     private static final double GAIN = 0.02; // of one query in the mix
     private static final double SPREAD = 0.5; // of the time to come back, either way
 
@@ -21,7 +21,7 @@
     private double comeBackMs;
     private double fellows = 1;
 
-    Opening(List<QueryClass> classes, long seed, double mostComeBackMs) {
+    RecoveryAdmission(List<QueryClass> classes, long seed, double mostComeBackMs) {
         this.classes = classes;
         this.mostComeBackMs = mostComeBackMs;
         mix = new double[classes.size()];
--- a/src/main/java/reeldeal/decide/Held.java
+++ b/src/main/java/reeldeal/decide/RootState.java
@@ -8,8 +8,8 @@
 import reeldeal.decide.Aggregator.Server;
 
 /** What a root holds of servers, calls, attempts, parts and queries; {@link Choice} decides on it. */
-final class Held {
-    private Held() { }
+final class RootState {
+    private RootState() { }
 
     static final class Leaf {
         final long id;
--- a/src/main/java/reeldeal/discovery/Catalog.java
+++ b/src/main/java/reeldeal/discovery/MemberList.java
@@ -10,24 +10,24 @@
 import reeldeal.decide.Aggregator.Listed;
 
 /** A list of searchers, or changes to one, in discovery's form. */
-public record Catalog(long index, boolean snapshot, List<Searcher> searchers) {
+public record MemberList(long index, boolean snapshot, List<Searcher> searchers) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final int MAX_SEARCHERS = 10_000;
 
     /** Reads a reply; throws IOException, naming what is wrong, where it is none. */
-    public static Catalog parse(byte[] body) throws IOException {
+    public static MemberList parse(byte[] body) throws IOException {
         try (JsonParser json = JSON.createParser(body)) {
             json.nextToken();
-            Catalog catalog = read(json);
+            MemberList list = read(json);
             if (json.nextToken() != null) {
                 throw new IOException("bytes after the list");
             }
-            return catalog;
+            return list;
         }
     }
 
     /** Reads the object that the parser stands on. */
-    public static Catalog read(JsonParser json) throws IOException {
+    public static MemberList read(JsonParser json) throws IOException {
         if (json.currentToken() != JsonToken.START_OBJECT) {
             throw new IOException("not an object");
         }
@@ -47,7 +47,7 @@
         if (index < 0 || searchers == null) {
             throw new IOException(index < 0 ? "index missing" : "endpoints missing");
         }
-        return new Catalog(index, snapshot, List.copyOf(searchers));
+        return new MemberList(index, snapshot, List.copyOf(searchers));
     }
 
     private static List<Searcher> endpoints(JsonParser json) throws IOException {
--- a/src/main/java/reeldeal/discovery/Watch.java
+++ b/src/main/java/reeldeal/discovery/Watch.java
@@ -115,16 +115,16 @@
             return false;
         }
         try {
-            Catalog catalog = Catalog.parse(message.body());
+            MemberList list = MemberList.parse(message.body());
             if (!hasHeard) {
                 hasHeard = true;
                 heard.run();
             }
-            if (catalog.snapshot() || !catalog.searchers().isEmpty()) {
-                events.accept(new Event.Told(catalog.snapshot() ? ListKind.WHOLE : ListKind.CHANGES,
-                        catalog.searchers()));
+            if (list.snapshot() || !list.searchers().isEmpty()) {
+                events.accept(new Event.Told(list.snapshot() ? ListKind.WHOLE : ListKind.CHANGES,
+                        list.searchers()));
             }
-            index = catalog.index();
+            index = list.index();
             complaint = "";
             return true;
         } catch (IOException e) {
--- a/src/main/java/reeldeal/searchers/Practice.java
+++ b/src/main/java/reeldeal/searchers/CodecWarmUp.java
@@ -8,8 +8,8 @@
 import reeldeal.frames.FrameBuffer;
 
 /** Takes calls through the frames' codec with no searcher behind it, so that its code has run before it counts. */
-public final class Practice {
-    private Practice() { }
+public final class CodecWarmUp {
+    private CodecWarmUp() { }
 
     /** Writes a call and reads an answer to each of its parts; the ends that come back. */
     public static List<Event> answered(Effect.Call call, double now) {
--- a/src/main/java/reeldeal/serve/Broker.java
+++ b/src/main/java/reeldeal/serve/Broker.java
@@ -97,7 +97,7 @@
             }
             loop.scheduleWithFixedDelay(searchers::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         }).sync();
-        loop.submit(() -> Practice.run(config, clock.now())).sync();
+        loop.submit(() -> WarmUp.run(config, clock.now())).sync();
         platform.listen(group, config.listen()).sync();
         if (config.search() != null) {
             HttpServer search = new HttpServer(config.sockets() / 8, MAX_UNREAD,
--- a/src/main/java/reeldeal/serve/Practice.java
+++ b/src/main/java/reeldeal/serve/WarmUp.java
@@ -27,7 +27,7 @@
  * of their own and the codecs, with no socket and nothing kept. Code that runs for the first time is slow by two
  * orders, and a share of a core is soon taken: without this, the clients of a start's first second pay for it.
  */
-final class Practice implements Port, Exchange {
+final class WarmUp implements Port, Exchange {
     static final int QUERIES = 14; // more cost a start more than they save its clients
     private static final int MOST_PARTS = 12;
     private static final double SERVED_MS = 30; // after which a part that is sent out is answered
@@ -42,7 +42,7 @@
     private long nextRequest = 1;
     private int answers;
 
-    private Practice(Config config, double now) {
+    private WarmUp(Config config, double now) {
         this.config = config;
         this.now = now;
         this.front = new PlatformFront(this, config.settings(), config.classes(), config.shards());
@@ -51,13 +51,13 @@
 
     /** Plays the queries; returns how many were served. */
     static int run(Config config, double now) {
-        Practice practice = new Practice(config, now);
-        practice.coming.add(new Event.Told(ListKind.CACHED, practice.fleet()));
-        practice.turn();
+        WarmUp warmUp = new WarmUp(config, now);
+        warmUp.coming.add(new Event.Told(ListKind.CACHED, warmUp.fleet()));
+        warmUp.turn();
         for (int i = 0; i < QUERIES; i++) {
-            practice.ask(i);
+            warmUp.ask(i);
         }
-        return practice.answers;
+        return warmUp.answers;
     }
 
     /** The searchers that the broker knows, as if all had been up for long; one a cell where it knows none. */
@@ -67,7 +67,7 @@
             all.add(new Searcher(s.name(), s.address(), s.zone(), s.kind(), s.cell(), 0, s.size(), Listed.READY));
         }
         for (int cell = 0; all.size() < config.settings().layout().cells(); cell++) {
-            all.add(new Searcher("practice-" + cell, "127.0.0.1:1", "", "", cell, 0, 1, Listed.READY));
+            all.add(new Searcher("warm-up-" + cell, "127.0.0.1:1", "", "", cell, 0, 1, Listed.READY));
         }
         return all;
     }
@@ -83,8 +83,8 @@
         }
         body.append("],\"q\":\"c41e77d0\"}");
         String head = "POST /" + config.classes().get(klass)
-                + " HTTP/1.1\r\nHost: practice\r\nX-Correlation-Id: practice-"
-                + i + "\r\nX-Time-Left-Ms: 9000\r\nIdempotency-Key: practice-" + i + "\r\nContent-Length: "
+                + " HTTP/1.1\r\nHost: warmUp\r\nX-Correlation-Id: warm-up-"
+                + i + "\r\nX-Time-Left-Ms: 9000\r\nIdempotency-Key: warm-up-" + i + "\r\nContent-Length: "
                 + body.length() + "\r\n\r\n";
         byte[] bytes = (head + body).getBytes(StandardCharsets.US_ASCII);
         parser.feed(bytes, 0, bytes.length);
@@ -101,7 +101,7 @@
         coming.clear();
         for (Effect effect : reducer.turn(now, events)) {
             if (effect instanceof Effect.Call call) {
-                coming.addAll(reeldeal.searchers.Practice.answered(call, now));
+                coming.addAll(reeldeal.searchers.CodecWarmUp.answered(call, now));
             } else if (effect instanceof Effect.Wake wake && wake.delayMs() <= 0) {
                 coming.add(wake.due());
             } else if (effect instanceof Effect.Answer answer && replies.containsKey(answer.request())) {
--- a/src/test/java/reeldeal/decide/PowerTest.java
+++ b/src/test/java/reeldeal/decide/PowerTest.java
@@ -59,8 +59,8 @@
 
     private static void open(Fleet fleet, int root, double lost, boolean steps, int there) {
         int step = (int) Math.max(0, Math.min(STEPS.length - 1, (fleet.now - lost - 2_000) / 500));
-        fleet.roots.get(root).choice.opening().open(steps ? STEPS[step] : 1, 500);
-        fleet.roots.get(root).choice.opening().fellows(ROOTS, there);
+        fleet.roots.get(root).choice.recoveryAdmission().open(steps ? STEPS[step] : 1, 500);
+        fleet.roots.get(root).choice.recoveryAdmission().fellows(ROOTS, there);
     }
 
     @Test
@@ -78,28 +78,28 @@
         for (double worth : new double[] {3, 1, 2}) {
             classes.add(new QueryClass(400, 0, 1_400, worth, 0.1, Effect.SAFE, 0, 1, 1, 1, 0));
         }
-        Opening opening = new Opening(classes, 7, 1_000);
-        assertTrue(opening.lets(1), "whole unless it is told otherwise");
-        opening.open(0.25, 600);
+        RecoveryAdmission recoveryAdmission = new RecoveryAdmission(classes, 7, 1_000);
+        assertTrue(recoveryAdmission.lets(1), "whole unless it is told otherwise");
+        recoveryAdmission.open(0.25, 600);
         int[] let = new int[3];
         double least = 1e9;
         double most = 0;
         for (int i = 0; i < 8_000; i++) {
             int klass = i % 8 == 0 ? 0 : i % 8 < 6 ? 1 : 2; // an eighth, five eighths, a quarter
             if (i >= 4_000) {
-                let[klass] += opening.lets(klass) ? 1 : 0;
+                let[klass] += recoveryAdmission.lets(klass) ? 1 : 0;
             } else {
-                opening.lets(klass);
+                recoveryAdmission.lets(klass);
             }
-            least = Math.min(least, opening.comeBackMs());
-            most = Math.max(most, opening.comeBackMs());
+            least = Math.min(least, recoveryAdmission.comeBackMs());
+            most = Math.max(most, recoveryAdmission.comeBackMs());
         }
         assertEquals(500, let[0], 25, "all of the worthiest");
         assertEquals(500, let[2], 60, "half of the next");
         assertTrue(let[1] < 20, "and none of the last: " + let[1]);
         assertTrue(least < 330 && most > 870 && most <= 1_000, least + " to " + most);
-        opening.open(0, 600);
-        assertEquals(false, opening.lets(0));
+        recoveryAdmission.open(0, 600);
+        assertEquals(false, recoveryAdmission.lets(0));
     }
 
     /** By command: the figures of docs/measurements/recovery.md. */
--- a/src/test/java/reeldeal/serve/ConnectTimeoutTest.java
+++ b/src/test/java/reeldeal/serve/ConnectTimeoutTest.java
@@ -11,7 +11,7 @@
 /** For how long a connection to a searcher may take to come up. */
 public class ConnectTimeoutTest {
     private static int with(String find, String replacement) throws Exception {
-        try (InputStream in = Practice.class.getResourceAsStream("/reeldeal/rehearsal.json")) {
+        try (InputStream in = WarmUp.class.getResourceAsStream("/reeldeal/rehearsal.json")) {
             String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
             return Broker.connectTimeoutMs(Config.parse(text.replace(find, replacement)
                     .getBytes(StandardCharsets.UTF_8), Map.of(), false));
