Force crossings of stop, leave, second step and half a line at a close over sockets

Need: a test for each row of the table of crossings that had none. The script's `term` sends the signal by /bin/kill now: Process.destroy closes the program's log, so that nothing after it was read.

--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -199,6 +199,27 @@
         assertTrue("refused as the first tenant's", done.stream().noneMatch(e -> e instanceof reeldeal.core.Effect.Answer));
     }
 
+    @Test
+    public void aClientThatLeavesBetweenTheTwoStepsGetsNoSecondOne() {
+        QueryClass steps = new QueryClass(1000, 0, 3000, 1, 0.5, Effect.SAFE, 2000, 1, 1, 0.9, 1);
+        Reducer other = new Reducer(0, new Settings(7, 0, 1, 0, 5, false, new Layout(1, 1, 2, 68), List.of(steps), List.of(), 0.1,
+                SETTINGS.limits(), SETTINGS.rules(), List.of()), List.of("a"), List.of());
+        other.turn(0, List.of(new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, Listed.READY)))));
+        call(other.turn(10, List.of(ask(1, 1))));
+        List<reeldeal.core.Effect> first = other.turn(100, List.of(new Event.AttemptEnded(1, 0, new AttemptEnd.Served(1, "in"), new double[0])));
+        assertTrue(first.toString(), first.contains(new reeldeal.core.Effect.Wake(0, new Event.SecondStepDue(1))));
+        List<reeldeal.core.Effect> then = other.turn(105, List.of(new Event.ClientGone(1), new Event.SecondStepDue(1)));
+        assertTrue(then.toString(), then.stream().noneMatch(e -> e instanceof reeldeal.core.Effect.Call));
+        assertEquals(0, other.openRequests());
+    }
+
+    @Test
+    public void aSearcherThatIsBackUnderItsNameBetweenTwoListsIsStoppedWhereItWas() {
+        play(ask(1, 1), new Event.Told(ListKind.WHOLE, List.of(new Searcher("s", "h:9", "a", "", 0, 500, 1, Listed.READY))));
+        assertTrue(done.toString(), all(reeldeal.core.Effect.Halt.class).stream().anyMatch(h -> h.searcher().address().equals("h:1")));
+        assertTrue(done.toString(), all(reeldeal.core.Effect.Call.class).stream().noneMatch(c -> c.searcher().address().equals("h:1")));
+    }
+
     private static reeldeal.core.Effect.Call call(List<reeldeal.core.Effect> effects) {
         return (reeldeal.core.Effect.Call) effects.stream().filter(e -> e instanceof reeldeal.core.Effect.Call).findFirst().orElseThrow();
     }
--- a/src/test/java/reeldeal/searchers/PoolTest.java
+++ b/src/test/java/reeldeal/searchers/PoolTest.java
@@ -195,4 +195,25 @@
         on(pool::sweep);
         assertEquals(Outcome.TIMEOUT, ((Event.Probed) next()).outcome());
     }
+
+    @Test
+    public void aHalfLineJustAsItsConnectionEndsEndsThePartsThatWereOutOnceAndIsNobodysAnswer() throws Exception {
+        on(() -> {
+            pool.call(call(1));
+            pool.call(call(2));
+        });
+        try (Socket first = server.accept()) {
+            frame(first, "Qq1.3 3 d=500 1\nx");
+            frame(first, "Qq2.3 3 d=500 1\nx");
+            write(first, "Aq2.3 ok 1 -\nvalue");
+            first.getOutputStream().write(new byte[] {0, 0, 0, 20, 'A', 'q', '1', '.', '3', ' ', 'o', 'k'});
+        }
+        assertEquals(new AttemptEnd.Served(1, "value"), ((Event.AttemptEnded) next()).end());
+        Event.AttemptEnded broken = (Event.AttemptEnded) next();
+        assertEquals(1, broken.part());
+        assertEquals(AttemptEnd.Reach.SENT, ((AttemptEnd.Broken) broken.end()).reach());
+        on(() -> pool.call(call(3)));
+        frame(server.accept(), "Qq3.3 3 d=500 1\nx");
+        assertEquals("each part ends once", 0, events.size());
+    }
 }
--- a/src/test/java/reeldeal/serve/ExchangeTest.java
+++ b/src/test/java/reeldeal/serve/ExchangeTest.java
@@ -176,14 +176,14 @@
             case "sent" -> assertEquals(rest, String.valueOf(partsSent.getOrDefault(words[1], 0)));
             case "term" -> {
                 termAt = System.nanoTime();
-                program.destroy();
+                signal("TERM");
             }
             case "within" -> {
                 step(rest.split(" ", 3));
                 long took = (System.nanoTime() - termAt) / 1_000_000;
                 assertTrue("came " + took + " ms after SIGTERM", took <= Integer.parseInt(words[1]));
             }
-            case "hup" -> hup();
+            case "hup" -> signal("HUP");
             case "config" -> Files.writeString(folder.resolve("config.json"),
                     Files.readString(folder.resolve("config.json")).replace(words[1], rest));
             case "discovery-moves" -> {
@@ -192,7 +192,7 @@
                 String config = Files.readString(folder.resolve("config.json"));
                 Files.writeString(folder.resolve("config.json"), config.replace(
                         "127.0.0.1:" + old.server.getLocalPort(), "127.0.0.1:" + discovery.server.getLocalPort()));
-                hup();
+                signal("HUP");
                 awaitLog("reloaded: moving to discovery");
                 old.end();
             }
@@ -205,8 +205,9 @@
         }
     }
 
-    private void hup() throws Exception {
-        assertEquals(0, new ProcessBuilder("/bin/kill", "-HUP", String.valueOf(program.pid())).start().waitFor());
+    /** By a program of its own: the process's own way to end it would close its log with it. */
+    private void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("/bin/kill", "-" + name, String.valueOf(program.pid())).start().waitFor());
     }
 
     private void awaitLog(String words) throws InterruptedException {
@@ -338,6 +339,7 @@
                 party.socket.close();
                 party.socket = null;
             }
+            case "half-close" -> party.socket.shutdownOutput();
             case "down" -> party.server.close();
             case ">" -> party.socket.getOutputStream().write(
                     party.frames ? Wire.frame(rest) : Wire.response(200, rest));
