--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -313,7 +313,7 @@
             if (s.listed() == Listed.GONE) {
                 left(s);
             } else if (s.listed() != Listed.READY) {
-                effects.add(new Effect.Halt(s));
+                halt(s, id);
             }
             servers.add(new Server(id, Math.max(0, zones.indexOf(s.zone())), s.cell(), s.startedMs(),
                     s.size(), Math.max(0, kinds.indexOf(s.kind())), s.listed()));
@@ -326,9 +326,14 @@
 
     /** Nothing more is started at a searcher that left, and nothing of it is kept: new ones come all day. */
     private void left(Searcher s) {
-        effects.add(new Effect.Halt(s));
         long id = ids.remove(s.name());
         searchers.remove(id);
+        halt(s, id);
+    }
+
+    /** Nothing more is started at a searcher: neither what waits for a connection nor what this turn was to send. */
+    private void halt(Searcher s, long id) {
+        effects.add(new Effect.Halt(s));
         for (Effect.Send unsent : sends.getOrDefault(id, List.of())) {
             barred.add(new Event.AttemptEnded(unsent.part(), unsent.attempt(), new AttemptEnd.Barred(),
                     new double[0]));
--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -225,9 +225,12 @@
     }
 
     @Test
-    public void whatWasToGoToASearcherThatLeavesInTheSameTurnIsNotSent() {
-        play(ask(1, 1), new Event.Told(ListKind.CHANGES, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1,
-                Listed.GONE))));
-        assertEquals(List.of(), all(reeldeal.core.Effect.Call.class));
+    public void whatWasToGoToASearcherThatDrainsOrLeavesInTheSameTurnIsNotSent() {
+        for (Listed last : List.of(Listed.DRAINING, Listed.GONE)) {
+            play(new Event.Told(ListKind.CHANGES, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, Listed.READY))));
+            now += 100;
+            play(ask((long) now, 1), new Event.Told(ListKind.CHANGES, List.of(new Searcher("s", "h:1", "a", "", 0, 0, 1, last))));
+            assertEquals(last.name(), List.of(), all(reeldeal.core.Effect.Call.class));
+        }
     }
 }
