Hold clients that send ahead to the memory that their front may take

Seen: reading advance() again for the crossing of a flood with its own request at hand. README bounds what is being read on a front to 8 MiB, yet HttpServer.channelRead asked for that only where no request was at hand (current == null): some two hundred connections with one each could hold 144 KiB apiece, half of the heap. Change: beyond the bound what such a connection sent ahead is dropped, as beyond its own 144 KiB.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -172,6 +172,11 @@
         return (int) connections.stream().filter(c -> c.current != null || c.parser.inMessage()).count();
     }
 
+    /** Connections on which nothing more is read as a request. */
+    int connectionsEnding() {
+        return (int) connections.stream().filter(c -> c.ended).count();
+    }
+
     /** Connections that are open. */
     public int openConnections() {
         return connections.size();
@@ -222,9 +227,13 @@
             }
             parser.feed(bytes, 0, bytes.length);
             heldBytes += parser.heldBytes() - before;
-            if (heldBytes > maxHeldBytes && parser.heldBytes() > before && current == null) {
+            if (heldBytes > maxHeldBytes && parser.heldBytes() > before) {
                 // Many slow or large messages at once must not take the memory that all others live on.
-                turnDown(503, BUSY);
+                if (current == null) {
+                    turnDown(503, BUSY);
+                } else {
+                    dropWhatWasSentAhead();
+                }
                 return;
             }
             advance();
@@ -242,12 +251,7 @@
                 return;
             }
             if (current != null && !parser.hasRoom()) {
-                // Far more was sent ahead than anybody needs. Unread it would hide that the client leaves, and held it would
-                // fill the memory: the request at hand is answered, the rest goes with its connection.
-                ended = true;
-                heldBytes -= parser.heldBytes();
-                parser = new HttpParser(false);
-                heldBytes += parser.heldBytes();
+                dropWhatWasSentAhead();
                 return;
             }
             if (current != null || pausing || !context.channel().isWritable()) {
@@ -278,6 +282,17 @@
             }
         }
 
+        /**
+         * Far more was sent ahead than anybody needs. Unread it would hide that the client leaves, and held it would fill the
+         * memory: the request at hand is answered, the rest goes with its connection.
+         */
+        private void dropWhatWasSentAhead() {
+            ended = true;
+            heldBytes -= parser.heldBytes();
+            parser = new HttpParser(false);
+            heldBytes += parser.heldBytes();
+        }
+
         /** After a response that leaves the connection open. */
         private void answered(int status) {
             quietSince = messageSince = clock.getAsLong();
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -300,4 +300,26 @@
         assertTrue("its request goes on", left.await(10, TimeUnit.SECONDS));
         awaitOpen(0);
     }
+
+    @Test
+    public void whatManySendAheadTakesNoMoreMemoryThanAFrontHas() throws Exception {
+        String ahead = "GET /held HTTP/1.1\r\n\r\n".repeat(2_700); // 59,400 bytes, which one may send
+        try (Socket first = client(); Socket second = client()) {
+            write(first, "GET /later HTTP/1.1\r\n\r\n" + ahead);
+            waiting.poll(20, TimeUnit.SECONDS);
+            while (group.next().submit(server::heldBytes).sync().getNow() < ahead.length()) {
+                Thread.sleep(1);
+            }
+            write(second, "GET /later HTTP/1.1\r\n\r\n" + ahead);
+            Exchange exchange = waiting.poll(20, TimeUnit.SECONDS);
+            for (int i = 0; i < 10_000 && group.next().submit(server::connectionsEnding).sync().getNow() < 1; i++) {
+                Thread.sleep(1);
+            }
+            long held = group.next().submit(server::heldBytes).sync().getNow();
+            assertTrue("held " + held, held <= 100_000);
+            group.next().submit(() -> exchange.respond(200, Map.of(), new byte[0])).sync();
+            String answer = new String(second.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer, answer.startsWith("HTTP/1.1 200 ") && answer.toLowerCase().contains("connection: close"));
+        }
+    }
 }
