--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -196,8 +196,8 @@
             lessons.putAll(e.lessons());
             teach();
         } else if (event instanceof Event.Opened e) {
-            module.recoveryAdmission().open(e.share(), e.comeBackMs());
-            module.recoveryAdmission().fellows(settings.instances(), e.brokers());
+            module.admission().open(e.share(), e.comeBackMs());
+            module.admission().fellows(settings.instances(), e.brokers());
             if (e.coldFrom() > coldFrom) {
                 coldFrom = e.coldFrom();
                 coldZone = e.coldZone();
--- a/src/main/java/reeldeal/decide/Choice.java
+++ b/src/main/java/reeldeal/decide/Choice.java
@@ -71,7 +71,7 @@
     private final LinkedHashMap<Long, Double> unserved = new LinkedHashMap<>();
     private final ArrayDeque<double[]> taken = new ArrayDeque<>();
     private final ArrayDeque<Double> further = new ArrayDeque<>();
-    private final RecoveryAdmission recoveryAdmission;
+    private final RecoveryAdmission admission;
     private final int[] typicalSeen;
     private final double[] typical, tenantLevel, tenantAt;
     private double takenCount, clock, sound = 1, pacesAt = -1;
@@ -86,7 +86,8 @@
         this.rules = settings.rules();
         this.actions = actions;
         this.clock = now;
-        this.recoveryAdmission = new RecoveryAdmission(settings.classes(), settings.seed(), settings.limits().maxComeBackMs());
+        this.admission = new RecoveryAdmission(settings.classes(), settings.seed(),
+                settings.limits().maxComeBackMs());
         this.aim = settings.classes().stream().mapToDouble(QueryClass::aimMs).min().orElseThrow();
         this.typical = new double[settings.layout().batch()];
         this.typicalSeen = new int[typical.length];
@@ -163,9 +164,9 @@
         addParts(q, given);
         longest = Math.max(longest, 1 + q.all.size());
         limits(q);
-        boolean let = recoveryAdmission.lets(told.klass());
+        boolean let = admission.lets(told.klass());
         if (!let || !admitted(q)) {
-            double comeBack = let ? aim / 4 : recoveryAdmission.comeBackMs();
+            double comeBack = let ? aim / 4 : admission.comeBackMs();
             actions.refuse(told.id(), Math.min(settings.limits().maxComeBackMs(), comeBack));
             unserved(q);
             end(q);
@@ -186,8 +187,8 @@
     }
 
     /** Which queries are let in while a fleet comes back. */
-    public RecoveryAdmission recoveryAdmission() {
-        return recoveryAdmission;
+    public RecoveryAdmission admission() {
+        return admission;
     }
 
     /** Servers that are remembered. */
@@ -816,7 +817,7 @@
     private double toldShare() {
         int most = settings.limits().maxHeld();
         return most == Integer.MAX_VALUE || most <= HELD_LEAST * longest ? 0
-                : (1 + callUnits()) * most / HELD_MS / Math.max(1, listed) * recoveryAdmission.fellows();
+                : (1 + callUnits()) * most / HELD_MS / Math.max(1, listed) * admission.fellows();
     }
 
     // ---- admission ----
--- a/src/test/java/reeldeal/decide/PowerTest.java
+++ b/src/test/java/reeldeal/decide/PowerTest.java
@@ -59,8 +59,8 @@
 
     private static void open(Fleet fleet, int root, double lost, boolean steps, int there) {
         int step = (int) Math.max(0, Math.min(STEPS.length - 1, (fleet.now - lost - 2_000) / 500));
-        fleet.roots.get(root).choice.recoveryAdmission().open(steps ? STEPS[step] : 1, 500);
-        fleet.roots.get(root).choice.recoveryAdmission().fellows(ROOTS, there);
+        fleet.roots.get(root).choice.admission().open(steps ? STEPS[step] : 1, 500);
+        fleet.roots.get(root).choice.admission().fellows(ROOTS, there);
     }
 
     @Test
@@ -78,28 +78,28 @@
         for (double worth : new double[] {3, 1, 2}) {
             classes.add(new QueryClass(400, 0, 1_400, worth, 0.1, Effect.SAFE, 0, 1, 1, 1, 0));
         }
-        RecoveryAdmission recoveryAdmission = new RecoveryAdmission(classes, 7, 1_000);
-        assertTrue(recoveryAdmission.lets(1), "whole unless it is told otherwise");
-        recoveryAdmission.open(0.25, 600);
+        RecoveryAdmission admission = new RecoveryAdmission(classes, 7, 1_000);
+        assertTrue(admission.lets(1), "whole unless it is told otherwise");
+        admission.open(0.25, 600);
         int[] let = new int[3];
         double least = 1e9;
         double most = 0;
         for (int i = 0; i < 8_000; i++) {
             int klass = i % 8 == 0 ? 0 : i % 8 < 6 ? 1 : 2; // an eighth, five eighths, a quarter
             if (i >= 4_000) {
-                let[klass] += recoveryAdmission.lets(klass) ? 1 : 0;
+                let[klass] += admission.lets(klass) ? 1 : 0;
             } else {
-                recoveryAdmission.lets(klass);
+                admission.lets(klass);
             }
-            least = Math.min(least, recoveryAdmission.comeBackMs());
-            most = Math.max(most, recoveryAdmission.comeBackMs());
+            least = Math.min(least, admission.comeBackMs());
+            most = Math.max(most, admission.comeBackMs());
         }
         assertEquals(500, let[0], 25, "all of the worthiest");
         assertEquals(500, let[2], 60, "half of the next");
         assertTrue(let[1] < 20, "and none of the last: " + let[1]);
         assertTrue(least < 330 && most > 870 && most <= 1_000, least + " to " + most);
-        recoveryAdmission.open(0, 600);
-        assertEquals(false, recoveryAdmission.lets(0));
+        admission.open(0, 600);
+        assertEquals(false, admission.lets(0));
     }
 
     /** By command: the figures of docs/measurements/recovery.md. */
