Ask in one place whether a part may still be written, for both ways to searchers

Seen: on a last read of the change: Pool.write and SearchOutlet.body each compared the time with `until` and `sendBy`. Change: Effect.Send.mayBeWritten, which both call; no change of behaviour.

--- a/src/main/java/reeldeal/core/Effect.java
+++ b/src/main/java/reeldeal/core/Effect.java
@@ -13,6 +13,11 @@
      * since a connection may come up long after the decision. {@code first} is null in a first step.
      */
     record Send(long part, int attempt, Request request, int shard, double until, double sendBy, FirstStep first) {
+        /** Whether it may still be written: it is waited for, and its window is not over. */
+        public boolean mayBeWritten(double now) {
+            return now < Math.min(until, sendBy);
+        }
+
         /** For how long it is still waited for, in milliseconds. */
         public double left(double now) {
             return Math.max(0, until - now);
--- a/src/main/java/reeldeal/search/SearchOutlet.java
+++ b/src/main/java/reeldeal/search/SearchOutlet.java
@@ -79,7 +79,7 @@
         double now = clock.getAsDouble();
         List<Effect.Send> sends = new ArrayList<>();
         for (Effect.Send send : line.waiting) {
-            if (send != null && now < Math.min(send.until(), send.sendBy()) && (fence == null || fence.test(send))) {
+            if (send != null && send.mayBeWritten(now) && (fence == null || fence.test(send))) {
                 sends.add(send);
             } else if (send != null) {
                 end(send, new AttemptEnd.Barred());
--- a/src/main/java/reeldeal/searchers/Pool.java
+++ b/src/main/java/reeldeal/searchers/Pool.java
@@ -257,7 +257,7 @@
 
         private void write(List<Effect.Send> asked) {
             double now = clock.getAsDouble();
-            List<Effect.Send> sends = asked.stream().filter(s -> now < Math.min(s.until(), s.sendBy()) && (fence == null || fence.test(s))).toList();
+            List<Effect.Send> sends = asked.stream().filter(s -> s.mayBeWritten(now) && (fence == null || fence.test(s))).toList();
             for (Effect.Send barred : sends.size() == asked.size() ? List.<Effect.Send>of() : asked.stream().filter(s -> !sends.contains(s)).toList()) {
                 waiting.remove(Frames.partName(barred));
                 end(barred, new AttemptEnd.Barred(), "-");
