--- a/review/src/review/Settings.java
+++ b/review/src/review/Settings.java
@@ -6,10 +6,11 @@
 
     private Settings() {}
 
+    /** Returns the configuration; a discovery port of 0 leaves discovery out. */
     static String broker(String name, int port, int discoveryPort, int index) {
         return String.format(
                 """
-                {"name": "%s", "listen": "127.0.0.1:%d", "discovery": "127.0.0.1:%d", "seed": "8c1f30d27a5be96%d",
+                {"name": "%s", "listen": "127.0.0.1:%d", %s"seed": "8c1f30d27a5be96%d",
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                  "known": {"index": 1, "snapshot": true, "endpoints": []},
                  "settings": {
@@ -27,7 +28,11 @@
                   "Tier": 0, "Tiers": ["otsing-pool"], "ValueBy": "work", "Weights": "none",
                   "Zones": ["tln-lasna", "tln-ylemiste", "tartu-raadi"]}}
                 """,
-                name, port, discoveryPort, index, index, index);
+                name, port, discovery(discoveryPort), index, index % 3, index);
+    }
+
+    private static String discovery(int port) {
+        return port == 0 ? "" : "\"discovery\": \"127.0.0.1:" + port + "\", ";
     }
 
     static String zone(int index) {
