--- a/review/src/review/Run.java
+++ b/review/src/review/Run.java
@@ -43,12 +43,12 @@
         int run(Run run) throws Exception;
     }
 
-    private Run(Path folder) throws IOException {
-        record = Files.newBufferedWriter(folder.resolve("record.txt"));
+    private Run(Path recordFile) throws IOException {
+        record = Files.newBufferedWriter(recordFile);
         temporary = Files.createTempDirectory("review");
     }
 
-    /** Runs a case and ends this process with its exit status. */
+    /** Runs a case and ends this process with its exit status; the argument names record.txt. */
     static void main(String[] args, Body body) throws Exception {
         Run run = new Run(Path.of(args[0]));
         Runtime.getRuntime().addShutdownHook(new Thread(run::end));
