--- a/src/main/java/reeldeal/cli/NodeTarget.java
+++ b/src/main/java/reeldeal/cli/NodeTarget.java
@@ -7,8 +7,8 @@
 import picocli.CommandLine.Option;
 import reeldeal.config.BrokerConfig;
 import reeldeal.config.StoreConfigReader;
+import reeldeal.store.AdminAnswer;
 import reeldeal.store.AdminClient;
-import reeldeal.store.StoreNode;
 
 /**
  * Options for the running node that a command addresses: by default the node of the store
@@ -56,7 +56,7 @@
             } else {
                 nodeAddress = parseNodeOption();
             }
-            StoreNode.AdminAnswer answer = AdminClient.send(nodeAddress, group, request, timeoutMs);
+            AdminAnswer answer = AdminClient.send(nodeAddress, group, request, timeoutMs);
             if (!answer.ok()) {
                 throw new Commands.CommandFailedException(Commands.EXIT_FAILURE, answer.text());
             }
--- a/src/main/java/reeldeal/cli/StoreCommands.java
+++ b/src/main/java/reeldeal/cli/StoreCommands.java
@@ -126,7 +126,7 @@
     private static KeyValueState replayLog(RaftNode.PersistentState persisted)
             throws Commands.CommandFailedException {
         try {
-            KeyValueState state = KeyValueState.fromBytes(persisted.snapshot().data());
+            KeyValueState state = KeyValueState.fromSnapshot(persisted.snapshot().data());
             persisted
                     .entries()
                     .forEach(
@@ -158,7 +158,7 @@
                         + ", snapshot of version "
                         + persisted.snapshot().index()
                         + " ("
-                        + persisted.snapshot().data().length
+                        + persisted.snapshot().data().length()
                         + " bytes), "
                         + persisted.entries().size()
                         + " entries after it");
@@ -302,6 +302,15 @@
         return sendCommand(target, "nodes");
     }
 
+    @Command(
+            description =
+                    "Shows the sizes of a node's log, values and change history in memory, with their"
+                            + " bounds, in bytes.",
+            mixinStandardHelpOptions = true)
+    int memory(@Mixin NodeTarget target) throws Commands.CommandFailedException {
+        return sendCommand(target, "memory");
+    }
+
     @Command(
             description = "Adds a node to the group as a learner.",
             mixinStandardHelpOptions = true)
--- a/src/main/java/reeldeal/consensus/PeerProgress.java
+++ b/src/main/java/reeldeal/consensus/PeerProgress.java
@@ -25,6 +25,9 @@
     /** The snapshot being sent, or null. */
     Snapshot snapshot;
 
+    /** Reads the chunks of the snapshot being sent; null if there is none. */
+    SnapshotChunkReader snapshotReader;
+
     /** How many bytes of the snapshot the follower has received. */
     int snapshotOffset;
 
@@ -85,13 +88,21 @@
         inFlight.clear();
     }
 
+    /** Ends the transfer of a snapshot, if there is one, and goes back to probing. */
+    void endSnapshotTransfer() {
+        if (snapshot != null) {
+            snapshot = null;
+            snapshotReader = null;
+            probing = true;
+        }
+    }
+
     /** Records that the follower has the log up to an index on its disk. */
     void onAcknowledged(long index) {
         matchIndex = Math.max(matchIndex, index);
         probeInFlight = false;
         if (snapshot != null && matchIndex >= snapshot.index()) {
-            snapshot = null;
-            probing = true;
+            endSnapshotTransfer();
         }
         if (probing && snapshot == null) {
             probing = false;
--- a/src/main/java/reeldeal/consensus/RaftContext.java
+++ b/src/main/java/reeldeal/consensus/RaftContext.java
@@ -6,7 +6,7 @@
  */
 record RaftContext(
         String id,
-        RaftNode.Settings settings,
+        RaftSettings settings,
         RaftRules rules,
         DurableState durable,
         RaftLog log,
--- a/src/main/java/reeldeal/consensus/RaftLog.java
+++ b/src/main/java/reeldeal/consensus/RaftLog.java
@@ -8,12 +8,17 @@
  * committed, delivered and on disk, and the changes for which no disk request was issued yet.
  */
 final class RaftLog {
-    /** The approximate size of an entry without its data, in bytes. */
+    /** The approximate size of an entry in a message without its data, in bytes. */
     private static final int ENTRY_OVERHEAD_BYTES = 32;
 
+    /** The approximate heap size of an entry without the content of its data, in bytes. */
+    private static final int ENTRY_HEAP_BYTES = 72;
+
     private final Outbox outbox;
     private final List<Entry> entries = new ArrayList<>();
     private Snapshot snapshot;
+    private long heapBytes;
+    private long deliveredHeapBytes;
     private long commitIndex;
     private long deliveredIndex;
     private long durableIndex;
@@ -28,7 +33,7 @@
     RaftLog(Snapshot snapshot, List<Entry> entries, Outbox outbox) {
         this.outbox = outbox;
         this.snapshot = snapshot;
-        this.entries.addAll(entries);
+        entries.forEach(this::add);
         this.commitIndex = snapshot.index();
         this.deliveredIndex = snapshot.index();
         this.durableIndex = lastIndex();
@@ -85,14 +90,43 @@
         return batch;
     }
 
-    void append(Entry entry) {
+    /** Returns the approximate heap size of the entries after the snapshot, in bytes. */
+    long heapBytes() {
+        return heapBytes;
+    }
+
+    /** Returns the part of {@link #heapBytes} that belongs to delivered entries. */
+    long deliveredHeapBytes() {
+        return deliveredHeapBytes;
+    }
+
+    private static long heapBytesOf(Entry entry) {
+        return ENTRY_HEAP_BYTES + entry.data().length;
+    }
+
+    private void add(Entry entry) {
         entries.add(entry);
+        heapBytes += heapBytesOf(entry);
+    }
+
+    /** Removes the entries at the positions from {@code start} to before {@code end}. */
+    private void removeRange(int start, int end) {
+        List<Entry> removed = entries.subList(start, end);
+        for (Entry entry : removed) {
+            heapBytes -= heapBytesOf(entry);
+        }
+        removed.clear();
+    }
+
+    void append(Entry entry) {
+        add(entry);
         unsavedFrom = Math.min(unsavedFrom, entry.index());
     }
 
     void truncateFrom(long index) {
-        while (lastIndex() >= index) {
-            entries.remove(entries.size() - 1);
+        long keptEntries = Math.max(0, index - snapshot.index() - 1);
+        if (keptEntries < entries.size()) {
+            removeRange((int) keptEntries, entries.size());
         }
         durableIndex = Math.min(durableIndex, lastIndex());
     }
@@ -105,7 +139,9 @@
         commitIndex = Math.max(commitIndex, index);
         while (deliveredIndex < commitIndex) {
             deliveredIndex++;
-            outbox.deliver(entry(deliveredIndex));
+            Entry delivered = entry(deliveredIndex);
+            deliveredHeapBytes += heapBytesOf(delivered);
+            outbox.deliver(delivered);
         }
     }
 
@@ -113,7 +149,7 @@
      * Returns a snapshot of {@code state} at a delivered index, with the term and configuration at
      * that index.
      */
-    Snapshot snapshotAt(long index, byte[] state) {
+    Snapshot snapshotAt(long index, SnapshotData state) {
         GroupConfiguration configuration = snapshot.configuration();
         for (long i = snapshotIndex() + 1; i <= index; i++) {
             GroupConfiguration changed = entry(i).configuration();
@@ -126,11 +162,13 @@
      * Replaces the entries up to an index by a snapshot. Returns false, and changes nothing, if the
      * index is already compacted or not delivered yet.
      */
-    boolean compact(long index, byte[] state) {
+    boolean compact(long index, SnapshotData state) {
         if (index <= snapshotIndex() || index > deliveredIndex) {
             return false;
         }
+        long heapBytesBefore = heapBytes;
         replacePrefix(snapshotAt(index, state));
+        deliveredHeapBytes -= heapBytesBefore - heapBytes;
         return true;
     }
 
@@ -142,7 +180,7 @@
         if (termAt(received.index()) == received.term()) {
             replacePrefix(received);
         } else {
-            entries.clear();
+            removeRange(0, entries.size());
             snapshot = received;
             unsavedSnapshot = received;
             unsavedFrom = Long.MAX_VALUE;
@@ -151,12 +189,23 @@
         durableIndex = Math.min(durableIndex, lastIndex());
         commitIndex = received.index();
         deliveredIndex = received.index();
+        deliveredHeapBytes = 0;
         outbox.install(received);
     }
 
+    /**
+     * Replaces the data of the snapshot at an index by another representation of the same state.
+     * Does nothing if the log has another snapshot by now.
+     */
+    void replaceSnapshotData(long index, SnapshotData sameState) {
+        if (snapshot.index() == index) {
+            snapshot = snapshot.withData(sameState);
+        }
+    }
+
     private void replacePrefix(Snapshot replacement) {
         int coveredEntries = (int) Math.min(entries.size(), replacement.index() - snapshot.index());
-        entries.subList(0, coveredEntries).clear();
+        removeRange(0, coveredEntries);
         snapshot = replacement;
         unsavedSnapshot = replacement;
     }
--- a/src/main/java/reeldeal/consensus/RaftNode.java
+++ b/src/main/java/reeldeal/consensus/RaftNode.java
@@ -33,25 +33,6 @@
         LEADER
     }
 
-    /**
-     * The timing and size limits of a node; times are in ticks, sizes in bytes.
-     *
-     * @param electionTicks the minimum election timeout; each timeout is drawn at random between
-     *     this and twice this
-     * @param heartbeatTicks the heartbeat interval; well below {@code electionTicks}
-     * @param leaseTicks how long after sending a heartbeat that a majority acknowledged the leader
-     *     answers reads without another round; 0 to disable leases, else less than {@code
-     *     electionTicks} by a margin larger than the possible clock drift
-     * @param messageBytes the approximate size limit of the entries in one message, and the size of
-     *     a snapshot chunk
-     * @param window how many append requests to one follower may be unanswered
-     */
-    public record Settings(
-            int electionTicks, int heartbeatTicks, int leaseTicks, int messageBytes, int window) {
-        /** Settings for a tick of 50 ms on a local network. */
-        public static final Settings DEFAULT = new Settings(10, 2, 0, 256 * 1024, 32);
-    }
-
     /**
      * The state that a node reads from its disk at its start.
      *
@@ -91,14 +72,15 @@
     private long ticks;
 
     /** Starts a node from its state on disk; {@code random} returns a number below its argument. */
-    public RaftNode(String id, Settings settings, PersistentState disk, IntUnaryOperator random) {
+    public RaftNode(
+            String id, RaftSettings settings, PersistentState disk, IntUnaryOperator random) {
         this(id, settings, disk, random, new RaftRules());
     }
 
     /** Starts a node with other safety rules, for tests. */
     RaftNode(
             String id,
-            Settings settings,
+            RaftSettings settings,
             PersistentState disk,
             IntUnaryOperator random,
             RaftRules rules) {
@@ -328,17 +310,31 @@
     }
 
     /** Returns the snapshot that {@link #compact} would create at a delivered index. */
-    public Snapshot snapshotAt(long index, byte[] state) {
+    public Snapshot snapshotAt(long index, SnapshotData state) {
         return log.snapshotAt(index, state);
     }
 
     /** Replaces the entries up to a delivered index by a snapshot of the state after it. */
-    public void compact(long index, byte[] state) {
+    public void compact(long index, SnapshotData state) {
         if (log.compact(index, state)) {
             membership.reload();
+            tracker.forEach((node, peer) -> snapshots.releaseIfUnreachable(peer, ticks));
         }
     }
 
+    /**
+     * Replaces the data of the snapshot at an index by another representation of the same state, so
+     * that the earlier one can be freed. Does nothing if the latest snapshot is another one.
+     */
+    public void replaceSnapshotData(long index, SnapshotData sameState) {
+        log.replaceSnapshotData(index, sameState);
+    }
+
+    /** Returns the approximate heap size of the log's entries. */
+    public LogHeapSize logHeapSize() {
+        return new LogHeapSize(log.heapBytes(), log.deliveredHeapBytes());
+    }
+
     /** Processes a message from another member. */
     public void receive(Message message) {
         if (message.term() > term()) {
--- a/src/main/java/reeldeal/consensus/Snapshot.java
+++ b/src/main/java/reeldeal/consensus/Snapshot.java
@@ -8,4 +8,14 @@
  * @param configuration the group's configuration at that entry
  * @param data the state, in a form that consensus does not interpret
  */
-public record Snapshot(long index, long term, GroupConfiguration configuration, byte[] data) {}
+public record Snapshot(long index, long term, GroupConfiguration configuration, SnapshotData data) {
+    /** Creates a snapshot whose state consists of the given bytes. */
+    public Snapshot(long index, long term, GroupConfiguration configuration, byte[] data) {
+        this(index, term, configuration, SnapshotData.of(data));
+    }
+
+    /** Returns this snapshot with the same state in another representation. */
+    public Snapshot withData(SnapshotData sameState) {
+        return new Snapshot(index, term, configuration, sameState);
+    }
+}
--- a/src/main/java/reeldeal/consensus/SnapshotTransfer.java
+++ b/src/main/java/reeldeal/consensus/SnapshotTransfer.java
@@ -1,16 +1,12 @@
 package reeldeal.consensus;
 
-import java.util.Arrays;
-
 /**
  * Sends a snapshot in chunks to a follower whose next entry is already compacted and, on a
  * follower, assembles the chunks and installs the snapshot.
  */
 final class SnapshotTransfer {
-    private static final byte[] EMPTY = new byte[0];
-
     private final RaftContext context;
-    private byte[] receivedData = EMPTY;
+    private ReceivedSnapshotData receivedData = new ReceivedSnapshotData();
     private long receivedIndex = -1;
     private long receivedTerm;
 
@@ -21,6 +17,7 @@
     /** Starts to send the log's latest snapshot to a follower. */
     void start(String node, PeerProgress peer) {
         peer.snapshot = context.log().snapshot();
+        peer.snapshotReader = new SnapshotChunkReader(peer.snapshot.data());
         peer.snapshotOffset = 0;
         sendChunk(node, peer);
     }
@@ -30,8 +27,8 @@
      */
     void sendChunk(String node, PeerProgress peer) {
         Snapshot snapshot = peer.snapshot;
-        byte[] data = snapshot.data();
-        int end = Math.min(data.length, peer.snapshotOffset + context.settings().messageBytes());
+        byte[] chunk =
+                peer.snapshotReader.read(peer.snapshotOffset, context.settings().messageBytes());
         context.outbox()
                 .send(
                         new Message.SnapshotChunk(
@@ -42,16 +39,28 @@
                                         snapshot.index(),
                                         snapshot.term(),
                                         snapshot.configuration(),
-                                        data.length),
+                                        snapshot.data().length()),
                                 peer.snapshotOffset,
-                                Arrays.copyOfRange(data, peer.snapshotOffset, end)));
+                                chunk));
+    }
+
+    /**
+     * Ends the transfer of an earlier snapshot to a follower that has not answered for a whole
+     * election timeout, so that a dead follower does not keep an old state in memory. Replication
+     * starts a transfer of the latest snapshot once the follower answers again.
+     */
+    void releaseIfUnreachable(PeerProgress peer, long tick) {
+        boolean isUnreachable = tick - peer.lastMessageTick > context.settings().electionTicks();
+        if (isUnreachable && peer.snapshot != context.log().snapshot()) {
+            peer.endSnapshotTransfer();
+        }
     }
 
     /** Handles a follower's report of the bytes received: sends the next chunk. */
     void onChunkResponse(Message.SnapshotChunkResponse message, PeerProgress peer) {
         if (peer.snapshot != null
                 && peer.snapshot.index() == message.index()
-                && message.receivedBytes() <= peer.snapshot.data().length) {
+                && message.receivedBytes() <= peer.snapshot.data().length()) {
             peer.snapshotOffset = message.receivedBytes();
             sendChunk(message.from(), peer);
         }
@@ -66,7 +75,7 @@
             return;
         }
         appendChunk(message);
-        if (receivedData.length < header.totalBytes()) {
+        if (receivedData.length() < header.totalBytes()) {
             context.outbox()
                     .send(
                             new Message.SnapshotChunkResponse(
@@ -74,11 +83,11 @@
                                     message.from(),
                                     context.term(),
                                     header.index(),
-                                    receivedData.length));
+                                    receivedData.length()));
             return;
         }
-        byte[] state = receivedData;
-        receivedData = EMPTY;
+        SnapshotData state = receivedData;
+        receivedData = new ReceivedSnapshotData();
         receivedIndex = -1;
         context.log()
                 .install(
@@ -91,14 +100,12 @@
     private void appendChunk(Message.SnapshotChunk message) {
         long index = message.header().index();
         if (receivedIndex != index || receivedTerm != message.term() || message.offset() == 0) {
-            receivedData = EMPTY;
+            receivedData = new ReceivedSnapshotData();
             receivedIndex = index;
             receivedTerm = message.term();
         }
-        if (message.offset() == receivedData.length) {
-            int oldLength = receivedData.length;
-            receivedData = Arrays.copyOf(receivedData, oldLength + message.data().length);
-            System.arraycopy(message.data(), 0, receivedData, oldLength, message.data().length);
+        if (message.offset() == receivedData.length()) {
+            receivedData.append(message.data());
         }
     }
 }
--- a/src/main/java/reeldeal/faultinjection/CommitLogReader.java
+++ b/src/main/java/reeldeal/faultinjection/CommitLogReader.java
@@ -30,7 +30,7 @@
         try (DataDirectory directory =
                 DataDirectory.open(folder, identity, GroupConfiguration.of(node), 4 << 20)) {
             RaftNode.PersistentState persisted = directory.openResult().state();
-            KeyValueState state = KeyValueState.fromBytes(persisted.snapshot().data());
+            KeyValueState state = KeyValueState.fromSnapshot(persisted.snapshot().data());
             for (Entry entry : persisted.entries()) {
                 List<Change> changed = new ArrayList<>();
                 state.apply(entry.index(), entry.data(), changed);
--- a/src/main/java/reeldeal/faultinjection/OperatorConsole.java
+++ b/src/main/java/reeldeal/faultinjection/OperatorConsole.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import reeldeal.fleet.FormAttributes;
+import reeldeal.store.AdminAnswer;
 import reeldeal.store.AdminClient;
-import reeldeal.store.StoreNode;
 
 /** Sends operators' requests to a fleet in the way the commands of the program do. */
 final class OperatorConsole {
@@ -26,9 +26,9 @@
     }
 
     /** Returns the answer of the first running broker that answers. Voters are asked first. */
-    private Optional<StoreNode.AdminAnswer> request(String text) {
+    private Optional<AdminAnswer> request(String text) {
         for (BrokerProcess broker : fleet.running()) {
-            Optional<StoreNode.AdminAnswer> answer = tryRequest(broker, text);
+            Optional<AdminAnswer> answer = tryRequest(broker, text);
             if (answer.isPresent()) {
                 return answer;
             }
@@ -40,7 +40,7 @@
      * Returns the answer of a broker, or empty if the request fails, for example because the broker
      * has just ended or is not up yet.
      */
-    private static Optional<StoreNode.AdminAnswer> tryRequest(BrokerProcess broker, String text) {
+    private static Optional<AdminAnswer> tryRequest(BrokerProcess broker, String text) {
         try {
             return Optional.of(request(broker, text, TIMEOUT_MS));
         } catch (IOException e) {
@@ -48,7 +48,7 @@
         }
     }
 
-    private static StoreNode.AdminAnswer request(BrokerProcess broker, String text, int timeoutMs)
+    private static AdminAnswer request(BrokerProcess broker, String text, int timeoutMs)
             throws IOException {
         InetSocketAddress address =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), broker.storePort);
@@ -65,7 +65,7 @@
      * history.
      */
     boolean order(String text) {
-        Optional<StoreNode.AdminAnswer> answer = request(text);
+        Optional<AdminAnswer> answer = request(text);
         boolean isLong = text.length() > MAX_RECORDED_LENGTH;
         history.add(
                 "operator",
@@ -117,7 +117,7 @@
 
     private List<String> lines(String text) {
         return request(text)
-                .filter(StoreNode.AdminAnswer::ok)
+                .filter(AdminAnswer::ok)
                 .map(answer -> Arrays.asList(answer.text().split("\n")))
                 .orElse(List.of());
     }
--- a/src/main/java/reeldeal/fleet/node/FleetAdminEndpoint.java
+++ b/src/main/java/reeldeal/fleet/node/FleetAdminEndpoint.java
@@ -9,6 +9,7 @@
 import reeldeal.fleet.leader.AdminResult;
 import reeldeal.fleet.leader.RecoveryOrder;
 import reeldeal.fleet.recovery.Epoch;
+import reeldeal.store.AdminReply;
 import reeldeal.store.StoreNode;
 
 /**
@@ -62,7 +63,7 @@
     }
 
     /** Answers a request; its text begins with the word {@code fleet}. */
-    void handle(String text, StoreNode.AdminReply reply) {
+    void handle(String text, AdminReply reply) {
         String request = text.substring(REQUEST_PREFIX.length()).trim();
         if (request.startsWith(RECOVERY_PREFIX)) {
             handleRecovery(request.substring(RECOVERY_PREFIX.length()).trim(), reply);
@@ -73,7 +74,7 @@
         }
     }
 
-    private void handle(String request, StoreNode.AdminReply reply, int attemptsLeft) {
+    private void handle(String request, AdminReply reply, int attemptsLeft) {
         FleetView fleet = node.refreshedFleet();
         long now = FleetClock.nowMs();
         AdminResult result =
@@ -139,7 +140,7 @@
         }
     }
 
-    private void handleRecovery(String request, StoreNode.AdminReply reply) {
+    private void handleRecovery(String request, AdminReply reply) {
         String verb = request.split(" ")[0];
         if (recovery == null) {
             reply.reject("recovery is disabled: fleet.recovery.steps is off");
@@ -155,7 +156,7 @@
         }
     }
 
-    private void orderRecovery(String verb, FormAttributes attributes, StoreNode.AdminReply reply) {
+    private void orderRecovery(String verb, FormAttributes attributes, AdminReply reply) {
         AdminResult result = RecoveryOrder.handle(node.fleet(), recovery.ramp(), verb, attributes);
         if (result instanceof AdminResult.Rejection rejection) {
             reply.reject(rejection.reason());
--- a/src/main/java/reeldeal/fleet/takeover/GroupCommit.java
+++ b/src/main/java/reeldeal/fleet/takeover/GroupCommit.java
@@ -148,6 +148,15 @@
         return queue.removeIf(write -> write.key().equals(key));
     }
 
+    /** Returns the total length of the values that are queued or in progress, in characters. */
+    public long valueLength() {
+        long length = queue.stream().mapToLong(write -> valueLength(write.write())).sum();
+        for (List<QueuedWrite> batch : inProgress.values()) {
+            length += batch.stream().mapToLong(write -> valueLength(write.write())).sum();
+        }
+        return length;
+    }
+
     /** Returns the number of writes that are queued or in progress. */
     public int size() {
         return queue.size() + inProgress.values().stream().mapToInt(List::size).sum();
--- a/src/main/java/reeldeal/storage/ChecksummedRecords.java
+++ b/src/main/java/reeldeal/storage/ChecksummedRecords.java
@@ -50,7 +50,8 @@
         }
     }
 
-    private record Header(int length, int headerChecksum, int checksum) {
+    /** The numbers before a record's bytes. */
+    record Header(int length, int headerChecksum, int checksum) {
         static Header read(byte[] fileBytes, int offset) {
             ByteBuffer in = ByteBuffer.wrap(fileBytes, offset, HEADER_BYTES);
             return new Header(in.getInt() ^ LENGTH_MASK, in.getInt(), in.getInt());
@@ -80,11 +81,25 @@
         return checksum(ByteBuffer.allocate(8).putInt(length).putInt(checksum).array(), 0, 8);
     }
 
+    /** Scrambles the byte at an index of a record; applied twice, it returns the original byte. */
+    static byte scramble(byte value, int index) {
+        return (byte) (value ^ ((index + 1) * SCRAMBLE_FACTOR) >>> 24);
+    }
+
+    /** Returns the header of a record whose scrambled bytes have this length and checksum. */
+    static byte[] header(int length, int checksum) {
+        return ByteBuffer.allocate(HEADER_BYTES)
+                .putInt(length ^ LENGTH_MASK)
+                .putInt(headerChecksumOf(length, checksum))
+                .putInt(checksum)
+                .array();
+    }
+
     /** Scrambles bytes; applied twice, it returns the original bytes. */
     private static byte[] scramble(byte[] bytes, int offset, int length) {
         byte[] scrambled = new byte[length];
         for (int i = 0; i < length; i++) {
-            scrambled[i] = (byte) (bytes[offset + i] ^ ((i + 1) * SCRAMBLE_FACTOR) >>> 24);
+            scrambled[i] = scramble(bytes[offset + i], i);
         }
         return scrambled;
     }
@@ -94,9 +109,7 @@
         byte[] scrambled = scramble(bytes, 0, bytes.length);
         int checksum = checksum(scrambled, 0, scrambled.length);
         return ByteBuffer.allocate(HEADER_BYTES + bytes.length)
-                .putInt(bytes.length ^ LENGTH_MASK)
-                .putInt(headerChecksumOf(bytes.length, checksum))
-                .putInt(checksum)
+                .put(header(bytes.length, checksum))
                 .put(scrambled)
                 .array();
     }
--- a/src/main/java/reeldeal/storage/DataDirectory.java
+++ b/src/main/java/reeldeal/storage/DataDirectory.java
@@ -101,11 +101,22 @@
         }
     }
 
-    /** Returns what the directory contained when it was opened. */
+    /**
+     * Returns what the directory contained when it was opened, or null after {@link
+     * #releaseOpenResult}.
+     */
     public OpenResult openResult() {
         return openResult;
     }
 
+    /**
+     * Frees what the directory contained when it was opened, once the caller has taken it over: the
+     * log and the snapshot would otherwise stay in memory while the directory is open.
+     */
+    public void releaseOpenResult() {
+        openResult = null;
+    }
+
     private void recover(GroupConfiguration firstConfiguration) throws IOException {
         List<Path> snapshotFiles = new ArrayList<>();
         List<Path> logFiles = new ArrayList<>();
--- a/src/main/java/reeldeal/storage/DurableFiles.java
+++ b/src/main/java/reeldeal/storage/DurableFiles.java
@@ -40,22 +40,32 @@
         writableBytes = bytes;
     }
 
+    /** Writes the content of a new file. */
+    interface ContentWriter {
+        void writeTo(FileChannel channel) throws IOException;
+    }
+
     /** Replaces a file durably: the new content is on disk once this returns. */
     void replace(Path file, byte[] bytes) throws IOException {
+        replace(file, channel -> write(channel, bytes, 0));
+    }
+
+    /** Replaces a file durably by what a writer writes to the new file. */
+    void replace(Path file, ContentWriter content) throws IOException {
         Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
-        writeNew(temporary, bytes);
+        writeNew(temporary, content);
         rename(temporary, file);
     }
 
     /** Writes and flushes a file, but not its directory entry. */
-    void writeNew(Path file, byte[] bytes) throws IOException {
+    void writeNew(Path file, ContentWriter content) throws IOException {
         try (FileChannel channel =
                 FileChannel.open(
                         file,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.WRITE,
                         StandardOpenOption.TRUNCATE_EXISTING)) {
-            write(channel, bytes, 0);
+            content.writeTo(channel);
             channel.force(true);
         }
     }
@@ -75,7 +85,12 @@
 
     /** Writes all bytes at an offset of a file, without a flush. */
     void write(FileChannel channel, byte[] bytes, long offset) throws IOException {
-        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        write(channel, bytes, bytes.length, offset);
+    }
+
+    /** Writes the first {@code length} bytes of an array at an offset of a file, unflushed. */
+    void write(FileChannel channel, byte[] bytes, int length, long offset) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes, 0, length);
         writableBytes -= buffer.remaining();
         if (writableBytes < 0) {
             // Writes the bytes that still fit.
--- a/src/main/java/reeldeal/storage/LogSegment.java
+++ b/src/main/java/reeldeal/storage/LogSegment.java
@@ -13,6 +13,9 @@
 
 /** One file of the log, with its first index and the offset at which each of its entries ends. */
 final class LogSegment implements AutoCloseable {
+    /** The size of the encoded entries that are written together, in bytes. */
+    private static final int WRITE_BYTES = 256 * 1024;
+
     private final long firstIndex;
     private final Path path;
     private final FileChannel channel;
@@ -150,10 +153,22 @@
      * many were appended.
      */
     int append(DurableFiles files, List<Entry> entries, int maxBytes) throws IOException {
+        int count = 0;
+        while (count < entries.size() && bytes() < maxBytes) {
+            count += appendBatch(files, entries.subList(count, entries.size()), maxBytes);
+        }
+        return count;
+    }
+
+    /** Appends entries with one write, until it or the file is large enough. */
+    private int appendBatch(DurableFiles files, List<Entry> entries, int maxBytes)
+            throws IOException {
         ByteArrayOutputStream batch = new ByteArrayOutputStream();
         long start = bytes();
         int count = 0;
-        while (count < entries.size() && start + batch.size() < maxBytes) {
+        while (count < entries.size()
+                && batch.size() < WRITE_BYTES
+                && start + batch.size() < maxBytes) {
             byte[] record = EntryCodec.encode(flushedBytes, entries.get(count));
             batch.writeBytes(ChecksummedRecords.encode(record));
             entryEnds.add(start + batch.size());
--- a/src/main/java/reeldeal/storage/SnapshotFiles.java
+++ b/src/main/java/reeldeal/storage/SnapshotFiles.java
@@ -1,10 +1,11 @@
 package reeldeal.storage;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
+import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -68,19 +69,17 @@
     }
 
     private synchronized Snapshot read(Path file, long index) throws IOException {
-        ChecksummedRecords.ReadResult result = ChecksummedRecords.read(Files.readAllBytes(file), 0);
-        if (result.kind() != ChecksummedRecords.Kind.RECORD) {
+        Snapshot snapshot;
+        try (InputStream fileIn = new BufferedInputStream(Files.newInputStream(file))) {
+            RecordInputStream record = new RecordInputStream(fileIn, Files.size(file));
+            snapshot = decode(record);
+            if (!record.matchesChecksum()) {
+                throw new IOException("the checksum does not match");
+            }
+        } catch (IOException e) {
             throw new CorruptDataException(
                     file, 0, "the snapshot is incomplete or does not match its checksum");
         }
-        DataInputStream in = new DataInputStream(new ByteArrayInputStream(result.bytes()));
-        epoch = in.readLong();
-        Snapshot snapshot =
-                new Snapshot(
-                        in.readLong(),
-                        in.readLong(),
-                        GroupConfiguration.readFrom(in),
-                        in.readAllBytes());
         if (snapshot.index() != index) {
             throw new CorruptDataException(
                     file, 0, "the file contains the snapshot of index " + snapshot.index());
@@ -88,21 +87,36 @@
         return snapshot;
     }
 
-    private static byte[] encode(Snapshot snapshot, long snapshotEpoch) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64 + snapshot.data().length);
-        DataOutputStream out = new DataOutputStream(bytes);
+    private synchronized Snapshot decode(RecordInputStream record) throws IOException {
+        DataInputStream in = new DataInputStream(record);
+        epoch = in.readLong();
+        long index = in.readLong();
+        long term = in.readLong();
+        GroupConfiguration configuration = GroupConfiguration.readFrom(in);
+        byte[] data = new byte[record.available()];
+        in.readFully(data);
+        return new Snapshot(index, term, configuration, data);
+    }
+
+    private void encode(Snapshot snapshot, long snapshotEpoch, FileChannel channel)
+            throws IOException {
+        RecordOutputStream record = new RecordOutputStream(files, channel);
+        DataOutputStream out = new DataOutputStream(record);
         out.writeLong(snapshotEpoch);
         out.writeLong(snapshot.index());
         out.writeLong(snapshot.term());
         snapshot.configuration().writeTo(out);
-        out.write(snapshot.data());
-        return ChecksummedRecords.encode(bytes.toByteArray());
+        try (InputStream data = snapshot.data().open()) {
+            data.transferTo(out);
+        }
+        record.finish();
     }
 
     /** Writes a snapshot's file under a temporary name, before the request for it. */
     void prepare(Snapshot snapshot) throws IOException {
-        byte[] bytes = encode(snapshot, beginPreparation());
-        files.writeNew(files.resolve(PREPARED), bytes);
+        long snapshotEpoch = beginPreparation();
+        files.writeNew(
+                files.resolve(PREPARED), channel -> encode(snapshot, snapshotEpoch, channel));
         synchronized (this) {
             prepared = snapshot;
         }
@@ -141,7 +155,8 @@
         if (takePrepared(snapshot, discardsLog)) {
             files.rename(files.resolve(PREPARED), file);
         } else {
-            files.replace(file, encode(snapshot, discardsLog ? epoch() + 1 : epoch()));
+            long snapshotEpoch = discardsLog ? epoch() + 1 : epoch();
+            files.replace(file, channel -> encode(snapshot, snapshotEpoch, channel));
         }
     }
 
--- a/src/main/java/reeldeal/store/AdminClient.java
+++ b/src/main/java/reeldeal/store/AdminClient.java
@@ -23,11 +23,11 @@
      * @throws IOException if the node is not reachable, belongs to another group, or does not
      *     answer in time
      */
-    public static StoreNode.AdminAnswer send(
+    public static AdminAnswer send(
             InetSocketAddress node, String group, String request, int timeoutMs)
             throws IOException {
         InetSocketAddress address = node;
-        StoreNode.AdminAnswer answer = null;
+        AdminAnswer answer = null;
         for (int i = 0; i < MAX_REDIRECTS; i++) {
             answer = sendOnce(address, group, request, timeoutMs);
             if (answer.leader().isEmpty()) {
@@ -42,7 +42,7 @@
         return answer;
     }
 
-    private static StoreNode.AdminAnswer sendOnce(
+    private static AdminAnswer sendOnce(
             InetSocketAddress node, String group, String request, int timeoutMs)
             throws IOException {
         try (Socket socket = new Socket()) {
@@ -60,8 +60,7 @@
     }
 
     /** Reads frames up to the answer, and skips the node's level, which it announces first. */
-    private static StoreNode.AdminAnswer readAnswer(DataInputStream in, String group)
-            throws IOException {
+    private static AdminAnswer readAnswer(DataInputStream in, String group) throws IOException {
         while (true) {
             int length = in.readInt();
             if (length < 1 || length > PeerConnections.MAX_FRAME_BYTES) {
@@ -73,7 +72,7 @@
             }
             if (PeerMessageCodec.read(group, in.readNBytes(length))
                     instanceof PeerMessage.AdminResponse response) {
-                return new StoreNode.AdminAnswer(response.ok(), response.text(), response.leader());
+                return new AdminAnswer(response.ok(), response.text(), response.leader());
             }
         }
     }
--- a/src/main/java/reeldeal/store/Backup.java
+++ b/src/main/java/reeldeal/store/Backup.java
@@ -4,6 +4,8 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
@@ -16,9 +18,11 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import java.util.zip.CRC32C;
+import java.util.zip.CheckedInputStream;
 import reeldeal.consensus.GroupConfiguration;
 import reeldeal.consensus.Ready;
 import reeldeal.consensus.Snapshot;
+import reeldeal.consensus.SnapshotData;
 import reeldeal.storage.DataDirectory;
 
 /**
@@ -30,6 +34,8 @@
 public final class Backup {
     private static final byte[] FORMAT = "reeldeal-backup 1\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int BUFFER_BYTES = 64 * 1024;
+
     private Backup() {}
 
     /**
@@ -37,11 +43,10 @@
      * to disk before it gets its final name.
      */
     public static void write(Path file, KeyValueState.Frozen state) throws IOException {
-        byte[] bytes = state.toBytes();
         ByteArrayOutputStream header = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(header);
         out.write(FORMAT);
-        out.writeLong(checksum(bytes));
+        out.writeLong(checksum(state));
         Path temporary = file.resolveSibling(file.getFileName() + ".new");
         try (FileChannel channel =
                 FileChannel.open(
@@ -50,7 +55,7 @@
                         StandardOpenOption.WRITE,
                         StandardOpenOption.TRUNCATE_EXISTING)) {
             writeAll(channel, header.toByteArray());
-            writeAll(channel, bytes);
+            writeState(channel, state);
             channel.force(true);
         }
         Files.move(
@@ -67,6 +72,23 @@
         }
     }
 
+    private static void writeState(FileChannel channel, SnapshotData state) throws IOException {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try (InputStream in = state.open()) {
+            for (int count = in.readNBytes(buffer, 0, BUFFER_BYTES);
+                    count > 0;
+                    count = in.readNBytes(buffer, 0, BUFFER_BYTES)) {
+                writeAll(channel, Arrays.copyOf(buffer, count));
+            }
+        }
+    }
+
+    private static long checksum(SnapshotData state) throws IOException {
+        CheckedInputStream in = new CheckedInputStream(state.open(), new CRC32C());
+        in.transferTo(OutputStream.nullOutputStream());
+        return in.getChecksum().getValue();
+    }
+
     private static long checksum(byte[] bytes) {
         CRC32C crc = new CRC32C();
         crc.update(bytes);
--- a/src/main/java/reeldeal/store/DiskQueue.java
+++ b/src/main/java/reeldeal/store/DiskQueue.java
@@ -20,11 +20,8 @@
 
     /** Receives the outcome of writes, on the event loop. */
     interface Listener {
-        /**
-         * Called when all requests up to this number are on disk; {@code logBytes} is the size of
-         * the log.
-         */
-        void onPersisted(long request, long logBytes);
+        /** Called when all requests up to this number are on disk. */
+        void onPersisted(long request);
 
         /**
          * Called when a write failed. It is unknown what is on disk, and no further request is
@@ -77,17 +74,16 @@
                 Thread.sleep(SLOW_DISK_MS);
             }
             directory.write(batch);
-            long logBytes = directory.logSize().bytes();
             long request = batch.get(batch.size() - 1).number();
-            loop.execute(() -> onWritten(request, logBytes));
+            loop.execute(() -> onWritten(request));
         } catch (IOException | RuntimeException | InterruptedException e) {
             loop.execute(() -> listener.onDiskFailure(e));
         }
     }
 
-    private void onWritten(long request, long logBytes) {
+    private void onWritten(long request) {
         writing = false;
-        listener.onPersisted(request, logBytes);
+        listener.onPersisted(request);
         writeNext();
     }
 
--- a/src/main/java/reeldeal/store/ForwardedWrites.java
+++ b/src/main/java/reeldeal/store/ForwardedWrites.java
@@ -22,11 +22,15 @@
      *
      * @param slots the maximum number of writes in flight
      * @param maxQueued the maximum number of writes that wait for a slot
+     * @param maxQueuedBytes the maximum heap size of the writes that wait for a slot
      * @param timeoutMs the time after which a write is answered even though its result is not known
      * @param retryMs the interval between two attempts of one write
      */
-    record Limits(int slots, int maxQueued, long timeoutMs, long retryMs) {
-        static final Limits DEFAULT = new Limits(8, 1_000, 5_000, 300);
+    record Limits(int slots, int maxQueued, long maxQueuedBytes, long timeoutMs, long retryMs) {
+        /** Returns the default limits with a maximum heap size of the waiting writes. */
+        static Limits ofQueuedBytes(long maxQueuedBytes) {
+            return new Limits(8, 1_000, maxQueuedBytes, 5_000, 300);
+        }
     }
 
     /** A command to send to the leader, with the slot and the number of its write. */
@@ -35,6 +39,7 @@
     private record Write(
             List<KeyValueState.Precondition> preconditions,
             List<Change> changes,
+            long heapBytes,
             long deadlineMs,
             Consumer<StoreNode.Result> callback) {}
 
@@ -69,6 +74,7 @@
     private final Limits limits;
     private final List<Slot> slots = new ArrayList<>();
     private final ArrayDeque<Write> queue = new ArrayDeque<>();
+    private long queuedBytes;
 
     /**
      * Creates the slots.
@@ -89,11 +95,17 @@
             List<KeyValueState.Precondition> preconditions,
             List<Change> changes,
             Consumer<StoreNode.Result> callback) {
-        if (queue.size() >= limits.maxQueued()) {
+        long heapBytes = HeapSizes.of(changes);
+        boolean isFull =
+                queue.size() >= limits.maxQueued()
+                        || (!queue.isEmpty() && queuedBytes + heapBytes > limits.maxQueuedBytes());
+        if (isFull) {
             callback.accept(new StoreNode.Rejected("too many writes are waiting"));
             return;
         }
-        queue.add(new Write(preconditions, changes, nowMs + limits.timeoutMs(), callback));
+        queuedBytes += heapBytes;
+        queue.add(
+                new Write(preconditions, changes, heapBytes, nowMs + limits.timeoutMs(), callback));
     }
 
     /**
@@ -125,6 +137,7 @@
     private void assignQueued(Slot slot, long nowMs) {
         while (slot.write == null && !queue.isEmpty()) {
             Write next = queue.poll();
+            queuedBytes -= next.heapBytes();
             if (nowMs >= next.deadlineMs()) {
                 next.callback().accept(new StoreNode.Rejected("no leader was found in time"));
             } else {
--- a/src/main/java/reeldeal/store/GroupAdminHandler.java
+++ b/src/main/java/reeldeal/store/GroupAdminHandler.java
@@ -27,7 +27,7 @@
     private static final int COMMIT_TIMEOUT_MS = 5_000;
     private static final int MAX_PORT = 65_535;
     private static final String USAGE =
-            "expected store nodes, level [raise], add NAME ADDRESS, promote, demote or remove NAME,"
+            "expected store nodes, level [raise], memory, add NAME ADDRESS, promote, demote or remove NAME,"
                     + " replace OLD NEW";
 
     private final StoreNode store;
@@ -88,13 +88,15 @@
     // ---- requests ----
 
     /** Answers one request, whose first word is {@code store}. */
-    void handle(String requestText, StoreNode.AdminReply reply) {
+    void handle(String requestText, AdminReply reply) {
         String[] tokens = requestText.trim().split(" +", -1);
         String subcommand = tokens.length > 1 ? tokens[1] : "";
         if (subcommand.equals("nodes") && tokens.length == 2) {
             describeNodes(reply);
         } else if (subcommand.equals("level") && tokens.length == 2) {
             describeLevel(reply);
+        } else if (subcommand.equals("memory") && tokens.length == 2) {
+            reply.answer(store.memory().describe());
         } else if (!store.acceptsWrites()) {
             reply.redirect();
         } else if (subcommand.equals("level") && tokens.length == 3 && tokens[2].equals("raise")) {
@@ -126,7 +128,7 @@
         }
     }
 
-    private void describeNodes(StoreNode.AdminReply reply) {
+    private void describeNodes(AdminReply reply) {
         List<String> lines = new ArrayList<>();
         GroupConfiguration configuration = store.configuration();
         for (String node : configuration.all()) {
@@ -158,7 +160,7 @@
         return progress.reachable() ? " heard behind=" + progress.entriesBehind() : " silent";
     }
 
-    private void describeLevel(StoreNode.AdminReply reply) {
+    private void describeLevel(AdminReply reply) {
         Set<String> nodesBelow = nodesBelowLevel();
         reply.answer(
                 "level "
@@ -170,7 +172,7 @@
                                 : "; not told by " + String.join(" ", nodesBelow)));
     }
 
-    private void raiseLevel(StoreNode.AdminReply reply) {
+    private void raiseLevel(AdminReply reply) {
         Set<String> nodesBelow = nodesBelowLevel();
         if (store.level() >= PeerMessage.LEVEL) {
             reply.answer("level " + store.level() + " holds already");
@@ -191,7 +193,7 @@
      * Adds a learner. Its address is committed before the membership change, so that a later leader
      * can connect to the node as well.
      */
-    private void add(String node, String address, StoreNode.AdminReply reply) {
+    private void add(String node, String address, AdminReply reply) {
         if (!isValid(node, address)) {
             reply.reject(
                     "expected a node's name and its loopback address, found "
@@ -221,7 +223,7 @@
                 && Integer.parseInt(address.substring(address.indexOf(':') + 1)) <= MAX_PORT;
     }
 
-    private void replace(String removed, String promoted, StoreNode.AdminReply reply) {
+    private void replace(String removed, String promoted, AdminReply reply) {
         Runnable done = () -> reply.answer(promoted + " votes in the place of " + removed);
         change(
                 MembershipChangeRules.Change.PROMOTE,
@@ -230,7 +232,7 @@
                 () -> change(MembershipChangeRules.Change.REMOVE, removed, reply, done));
     }
 
-    private void removeAddress(String node, StoreNode.AdminReply reply) {
+    private void removeAddress(String node, AdminReply reply) {
         String successText = "removed " + node;
         if (store.value(StoreNode.NODE_KEY_PREFIX + node) == null) {
             reply.answer(successText);
@@ -246,7 +248,7 @@
     private void change(
             MembershipChangeRules.Change change,
             String node,
-            StoreNode.AdminReply reply,
+            AdminReply reply,
             Runnable whenCommitted) {
         MembershipChangeRules.Decision decision =
                 MembershipChangeRules.evaluate(
@@ -271,7 +273,7 @@
     private void awaitCommit(
             GroupConfiguration proposed,
             long deadlineNanos,
-            StoreNode.AdminReply reply,
+            AdminReply reply,
             Runnable whenCommitted) {
         if (store.isConfigurationCommitted() && store.configuration().equals(proposed)) {
             whenCommitted.run();
@@ -284,8 +286,7 @@
         }
     }
 
-    private static void answer(
-            StoreNode.AdminReply reply, StoreNode.Result result, String successText) {
+    private static void answer(AdminReply reply, StoreNode.Result result, String successText) {
         if (result instanceof StoreNode.Committed) {
             reply.answer(successText);
         } else if (result instanceof StoreNode.Rejected rejected) {
--- a/src/main/java/reeldeal/store/KeyValueCodec.java
+++ b/src/main/java/reeldeal/store/KeyValueCodec.java
@@ -5,16 +5,15 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 /** Encodes and decodes the commands and snapshots of the {@link KeyValueState}. */
 final class KeyValueCodec {
     private static final int COMMAND_FORMAT = 1;
     private static final int SNAPSHOT_FORMAT = 1;
-    private static final int INITIAL_SNAPSHOT_BYTES = 1 << 16;
 
     private KeyValueCodec() {}
 
@@ -82,31 +81,27 @@
         return new KeyValueState.Command(session, number, preconditions, List.copyOf(changes));
     }
 
-    /** Encodes a snapshot of the values and sessions of one version. */
-    static byte[] encodeSnapshot(
-            long version,
-            Map<String, KeyValueState.Value> values,
-            Map<String, KeyValueState.Session> sessions) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_SNAPSHOT_BYTES);
-        DataOutputStream out = new DataOutputStream(bytes);
-        try {
-            out.writeByte(SNAPSHOT_FORMAT);
-            out.writeLong(version);
-            out.writeInt(values.size());
-            for (Map.Entry<String, KeyValueState.Value> entry : values.entrySet()) {
-                ByteBlocks.writeText(out, entry.getKey());
-                ByteBlocks.writeText(out, entry.getValue().text());
-                out.writeLong(entry.getValue().version());
-            }
-            out.writeInt(sessions.size());
-            for (Map.Entry<String, KeyValueState.Session> entry : sessions.entrySet()) {
-                ByteBlocks.writeText(out, entry.getKey());
-                writeSession(out, entry.getValue());
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e); // a ByteArrayOutputStream does not throw
-        }
-        return bytes.toByteArray();
+    /** Writes what precedes the values of a snapshot. */
+    static void writeSnapshotHeader(DataOutputStream out, long version, int values)
+            throws IOException {
+        out.writeByte(SNAPSHOT_FORMAT);
+        out.writeLong(version);
+        out.writeInt(values);
+    }
+
+    /** Writes one value of a snapshot. */
+    static void writeValue(DataOutputStream out, String key, KeyValueState.Value value)
+            throws IOException {
+        ByteBlocks.writeText(out, key);
+        ByteBlocks.writeText(out, value.text());
+        out.writeLong(value.version());
+    }
+
+    /** Writes one session of a snapshot; the number of sessions precedes the first. */
+    static void writeSession(DataOutputStream out, String name, KeyValueState.Session session)
+            throws IOException {
+        ByteBlocks.writeText(out, name);
+        writeSession(out, session);
     }
 
     private static void writeSession(DataOutputStream out, KeyValueState.Session session)
@@ -122,8 +117,8 @@
      * Decodes a snapshot; throws IOException if the bytes are malformed or were written by a newer
      * version of the program.
      */
-    static void decodeSnapshot(byte[] bytes, SnapshotReader reader) throws IOException {
-        DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes));
+    static void decodeSnapshot(InputStream bytes, SnapshotReader reader) throws IOException {
+        DataInputStream in = new DataInputStream(bytes);
         if (in.readByte() != SNAPSHOT_FORMAT) {
             throw new IOException(
                     "the snapshot does not have format "
--- a/src/main/java/reeldeal/store/KeyValueState.java
+++ b/src/main/java/reeldeal/store/KeyValueState.java
@@ -1,12 +1,14 @@
 package reeldeal.store;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.pcollections.TreePMap;
+import reeldeal.consensus.SnapshotData;
 
 /**
  * The replicated state: values by key, each with the version that wrote it, and the result of the
@@ -49,6 +51,7 @@
 
     private static final int MAX_SESSIONS = 1_000;
     private static final int MAX_HISTORY = 20_000;
+    static final long DEFAULT_MAX_HISTORY_BYTES = 1 << 20;
     private static final int PINNED_SESSIONS_LEVEL = 2;
     private static final int MAX_QUOTED_KEY_CHARS = 40;
 
@@ -109,6 +112,9 @@
     private TreePMap<String, Session> sessions = TreePMap.empty();
     private TreePMap<String, Long> bytesByPrefix = TreePMap.empty();
     private final ArrayDeque<ChangeSet> history = new ArrayDeque<>();
+    private long heapBytes;
+    private long historyBytes;
+    private long maxHistoryBytes = DEFAULT_MAX_HISTORY_BYTES;
     private long version;
     private long historyStart;
 
@@ -128,16 +134,22 @@
     }
 
     /**
-     * Returns the first {@code limit} values whose keys begin with a prefix and are greater than
-     * {@code afterKey}, ordered by key.
+     * Returns the first values whose keys begin with a prefix and are greater than {@code
+     * afterKey}, ordered by key.
+     *
+     * @param limit the maximum number of values
+     * @param maxLength the total length of the values, in characters, after which no further one is
+     *     added
      */
-    public Map<String, Value> page(String prefix, String afterKey, int limit) {
+    public Map<String, Value> page(String prefix, String afterKey, int limit, int maxLength) {
         Map<String, Value> page = new TreeMap<>();
+        long length = 0;
         for (Map.Entry<String, Value> entry :
                 values.subMap(afterKey, false, prefix + Character.MAX_VALUE, false).entrySet()) {
-            if (page.size() >= limit) {
+            if (page.size() >= limit || length >= maxLength) {
                 break;
             }
+            length += entry.getValue().text().length();
             page.put(entry.getKey(), entry.getValue());
         }
         return page;
@@ -151,6 +163,35 @@
         return bytesByPrefix.getOrDefault(prefix, 0L);
     }
 
+    /** Returns the approximate heap size of all values, in bytes. */
+    public long heapBytes() {
+        return heapBytes;
+    }
+
+    /** Returns the approximate heap size of the change history, in bytes. */
+    public long historyBytes() {
+        return historyBytes;
+    }
+
+    /**
+     * Limits the approximate heap size of the change history. The history is not part of the
+     * replicated state, so that the limit may differ between nodes.
+     */
+    void limitHistory(long bytes) {
+        maxHistoryBytes = bytes;
+    }
+
+    /** Returns the bytes by which changes would grow the heap size; negative if they shrink it. */
+    long heapGrowthOf(List<Change> changes) {
+        long growth = 0;
+        for (Change change : changes) {
+            Value before = values.get(change.key());
+            growth += HeapSizes.ofValue(change.key(), change.value());
+            growth -= before == null ? 0 : HeapSizes.ofValue(change.key(), before.text());
+        }
+        return growth;
+    }
+
     /**
      * Returns the changes that were written after a version, or null if the history does not reach
      * back that far; then the caller must read the values again.
@@ -319,6 +360,7 @@
     private void applyChange(long index, Change change) {
         String prefix = prefixOf(change.key());
         long bytes = bytesUnder(prefix) + growthOf(change);
+        heapBytes += heapGrowthOf(List.of(change));
         bytesByPrefix =
                 bytes == 0 ? bytesByPrefix.minus(prefix) : bytesByPrefix.plus(prefix, bytes);
         values =
@@ -329,8 +371,11 @@
 
     private void addToHistory(ChangeSet changeSet) {
         history.add(changeSet);
-        if (history.size() > MAX_HISTORY) {
-            historyStart = history.poll().version();
+        historyBytes += HeapSizes.of(changeSet);
+        while (history.size() > MAX_HISTORY || historyBytes > maxHistoryBytes) {
+            ChangeSet dropped = history.poll();
+            historyBytes -= HeapSizes.of(dropped);
+            historyStart = dropped.version();
         }
     }
 
@@ -340,21 +385,45 @@
     }
 
     /**
-     * An immutable copy of the state, created in constant time. It may be encoded on any thread.
+     * An immutable copy of the state, created in constant time. It may be encoded on any thread. It
+     * shares the values that the state still holds, and encodes them while it is read.
      */
-    public final class Frozen {
+    public final class Frozen implements SnapshotData {
         private final TreePMap<String, Value> frozenValues = values;
         private final TreePMap<String, Session> frozenSessions = sessions;
+        private final TreePMap<String, Long> frozenBytesByPrefix = bytesByPrefix;
+        private final long frozenHeapBytes = heapBytes;
         private final long frozenVersion = version;
+        private volatile int encodedLength;
 
         /** Returns the version of the state at the time of the copy. */
         public long version() {
             return frozenVersion;
         }
 
-        /** Encodes the copy as a snapshot. */
-        public byte[] toBytes() {
-            return KeyValueCodec.encodeSnapshot(frozenVersion, frozenValues, frozenSessions);
+        @Override
+        public int length() {
+            if (encodedLength == 0) {
+                encodedLength = SnapshotEncoder.length(frozenVersion, frozenValues, frozenSessions);
+            }
+            return encodedLength;
+        }
+
+        @Override
+        public InputStream open() {
+            return new SnapshotEncoder(frozenVersion, frozenValues, frozenSessions, length());
+        }
+
+        /** Returns a state with the content of this copy, which shares its values. */
+        KeyValueState thaw() {
+            KeyValueState state = new KeyValueState();
+            state.values = frozenValues;
+            state.sessions = frozenSessions;
+            state.bytesByPrefix = frozenBytesByPrefix;
+            state.heapBytes = frozenHeapBytes;
+            state.version = frozenVersion;
+            state.historyStart = frozenVersion;
+            return state;
         }
     }
 
@@ -367,14 +436,21 @@
      * Decodes a state from a snapshot; no bytes yield an empty state. Throws IOException if the
      * bytes are malformed or were written by a newer version of the program.
      */
-    public static KeyValueState fromBytes(byte[] bytes) throws IOException {
+    public static KeyValueState fromSnapshot(SnapshotData data) throws IOException {
         KeyValueState state = new KeyValueState();
-        if (bytes.length > 0) {
-            KeyValueCodec.decodeSnapshot(bytes, state.new Loader());
+        if (data.length() > 0) {
+            try (InputStream in = data.open()) {
+                KeyValueCodec.decodeSnapshot(in, state.new Loader());
+            }
         }
         return state;
     }
 
+    /** Decodes a state from the bytes of a snapshot, like {@link #fromSnapshot}. */
+    public static KeyValueState fromBytes(byte[] bytes) throws IOException {
+        return fromSnapshot(SnapshotData.of(bytes));
+    }
+
     /** Fills an empty state with the content of a snapshot. */
     private final class Loader implements KeyValueCodec.SnapshotReader {
         @Override
--- a/src/main/java/reeldeal/store/LogApplier.java
+++ b/src/main/java/reeldeal/store/LogApplier.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import reeldeal.consensus.Entry;
+import reeldeal.consensus.SnapshotData;
 
 /**
  * Applies committed entries to the state, on the event loop and in order of their indexes, and
@@ -19,6 +20,7 @@
     private final ArrayDeque<Entry> committed = new ArrayDeque<>();
     private final List<Consumer<List<Change>>> listeners = new ArrayList<>();
     private KeyValueState state;
+    private long maxHistoryBytes = KeyValueState.DEFAULT_MAX_HISTORY_BYTES;
     private boolean stopped;
 
     LogApplier(KeyValueState state, WriteQueue writes, PeerDirectory peers, Consumer<String> log) {
@@ -32,6 +34,12 @@
         return state;
     }
 
+    /** Limits the heap size of the change history, of the present state and of later ones. */
+    void limitHistory(long bytes) {
+        maxHistoryBytes = bytes;
+        state.limitHistory(bytes);
+    }
+
     /**
      * Whether this node stopped applying entries because it met one in a command format that this
      * program does not support.
@@ -116,16 +124,17 @@
     }
 
     /** Replaces the state with the leader's snapshot, and publishes the differences as changes. */
-    void install(byte[] snapshot) throws IOException {
+    void install(SnapshotData snapshot) throws IOException {
         committed.clear();
-        KeyValueState installed = KeyValueState.fromBytes(snapshot);
+        KeyValueState installed = KeyValueState.fromSnapshot(snapshot);
+        installed.limitHistory(maxHistoryBytes);
         List<Change> changes = difference(state, installed);
         state = installed;
         log.accept(
                 "store: installed the leader's snapshot of version "
                         + state.version()
                         + ", "
-                        + snapshot.length
+                        + snapshot.length()
                         + " bytes");
         publish(changes);
     }
--- a/src/main/java/reeldeal/store/PeerConnections.java
+++ b/src/main/java/reeldeal/store/PeerConnections.java
@@ -39,7 +39,6 @@
     private static final int LENGTH_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int RECONNECT_DELAY_MS = 100;
-    private static final long MAX_UNSENT_BYTES = 8 << 20;
     private static final int MAX_ACCEPTED = 1_024;
 
     /** The lowest protocol level whose program can read peer messages. */
@@ -58,14 +57,26 @@
     private final EventLoopGroup eventLoopGroup;
     private final String groupName;
     private final String self;
+    private final long maxUnsentBytes;
     private final Consumer<String> log;
     private final Map<String, OutgoingConnection> outgoing = new HashMap<>();
     private final List<Channel> accepted = new ArrayList<>();
     private Channel serverChannel;
     private boolean closed;
 
+    /**
+     * Creates the connections of a node; none is open yet.
+     *
+     * @param maxUnsentBytes the size of the messages to one peer that may wait for the socket;
+     *     further messages are dropped
+     */
     PeerConnections(
-            EventLoopGroup eventLoopGroup, String groupName, String self, Consumer<String> log) {
+            EventLoopGroup eventLoopGroup,
+            String groupName,
+            String self,
+            long maxUnsentBytes,
+            Consumer<String> log) {
+        this.maxUnsentBytes = maxUnsentBytes;
         this.eventLoopGroup = eventLoopGroup;
         this.groupName = groupName;
         this.self = self;
@@ -228,8 +239,7 @@
             ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
             boolean accepts =
                     connected
-                            && (unsent == null
-                                    || unsent.totalPendingWriteBytes() < MAX_UNSENT_BYTES);
+                            && (unsent == null || unsent.totalPendingWriteBytes() < maxUnsentBytes);
             if (accepts) {
                 channel.writeAndFlush(withLengthPrefix(bytes));
             }
--- a/src/main/java/reeldeal/store/PeerMessageRouter.java
+++ b/src/main/java/reeldeal/store/PeerMessageRouter.java
@@ -23,8 +23,7 @@
     private final WriteForwarder forwarder;
     private final PeerConnections connections;
     private final Map<Character, BiConsumer<String, byte[]>> topics = new HashMap<>();
-    private final Map<String, BiConsumer<String, StoreNode.AdminReply>> adminHandlers =
-            new HashMap<>();
+    private final Map<String, BiConsumer<String, AdminReply>> adminHandlers = new HashMap<>();
 
     /**
      * The handlers of consensus messages, forwarded writes, and the results of forwarded writes.
@@ -50,7 +49,7 @@
         topics.put(topic, handler);
     }
 
-    void onAdminRequest(String requestName, BiConsumer<String, StoreNode.AdminReply> handler) {
+    void onAdminRequest(String requestName, BiConsumer<String, AdminReply> handler) {
         adminHandlers.put(requestName, handler);
     }
 
@@ -123,9 +122,9 @@
 
     private void onAdminRequest(PeerMessage.AdminRequest request, Consumer<PeerMessage> reply) {
         String requestName = request.text().split(" ", 2)[0];
-        BiConsumer<String, StoreNode.AdminReply> handler = adminHandlers.get(requestName);
-        StoreNode.AdminReply adminReply =
-                new StoreNode.AdminReply(
+        BiConsumer<String, AdminReply> handler = adminHandlers.get(requestName);
+        AdminReply adminReply =
+                new AdminReply(
                         answer ->
                                 reply.accept(
                                         new PeerMessage.AdminResponse(
@@ -141,13 +140,13 @@
         }
     }
 
-    private StoreNode.AdminAnswer redirection() {
+    private AdminAnswer redirection() {
         String leader = raft.leader();
         if (leader == null) {
-            return new StoreNode.AdminAnswer(false, "no node leads: no majority is in reach", "");
+            return new AdminAnswer(false, "no node leads: no majority is in reach", "");
         }
         InetSocketAddress address = connections.address(leader);
-        return new StoreNode.AdminAnswer(
+        return new AdminAnswer(
                 false,
                 "node " + leader + " leads, not " + node,
                 address == null ? "" : address.getHostString() + ":" + address.getPort());
--- a/src/main/java/reeldeal/store/RaftDriver.java
+++ b/src/main/java/reeldeal/store/RaftDriver.java
@@ -26,6 +26,7 @@
     private final LogApplier applier;
     private final WriteQueue writes;
     private final SnapshotScheduler snapshots;
+    private final StoreMemory memory;
     private final DiskQueue disk;
     private final StoreLoop loop;
     private final Consumer<String> log;
@@ -41,7 +42,8 @@
             PeerDirectory peers,
             LogApplier applier,
             WriteQueue writes,
-            SnapshotScheduler snapshots) {}
+            SnapshotScheduler snapshots,
+            StoreMemory memory) {}
 
     RaftDriver(
             String node,
@@ -58,6 +60,7 @@
         this.applier = components.applier();
         this.writes = components.writes();
         this.snapshots = components.snapshots();
+        this.memory = components.memory();
         this.loop = loop;
         this.log = log;
         this.disk = new DiskQueue(loop, directory, this);
@@ -96,7 +99,7 @@
                 votesWithheld
                         && (message instanceof Message.VoteRequest
                                 || message instanceof Message.TimeoutNow);
-        if (status.isActive() && !ignored) {
+        if (status.isActive() && !ignored && !memory.mustIgnore(message)) {
             raft.receive(message);
             step();
         }
@@ -142,8 +145,7 @@
     }
 
     @Override
-    public void onPersisted(long request, long logBytes) {
-        snapshots.onLogSize(logBytes);
+    public void onPersisted(long request) {
         raft.persisted(request);
         step();
     }
@@ -208,9 +210,7 @@
             }
         }
         applier.apply(ready.committed, raft.durableIndex());
-        if (!applier.isStopped()
-                && snapshots.isDue()
-                && applier.state().version() > raft.snapshotIndex()) {
+        if (!applier.isStopped() && memory.isCompactionDue() && !snapshots.isInProgress()) {
             compactNow();
         }
     }
@@ -218,6 +218,8 @@
     private void install(Snapshot snapshot) {
         try {
             applier.install(snapshot.data());
+            // The installed state can encode itself, so that the received bytes need not be kept.
+            raft.replaceSnapshotData(snapshot.index(), applier.state().freeze());
         } catch (IOException e) {
             onDiskFailure(e);
         }
@@ -228,12 +230,11 @@
         KeyValueState.Frozen state = applier.state().freeze();
         long version = state.version();
         snapshots.start(
-                state,
-                raft.snapshotAt(version, new byte[0]),
-                data -> {
+                raft.snapshotAt(version, state),
+                () -> {
                     if (status.isActive() && version > raft.snapshotIndex()) {
-                        raft.compact(version, data);
-                        snapshots.onLogSize(0);
+                        raft.compact(version, state);
+                        memory.onCompacted();
                         step();
                     }
                 });
--- a/src/main/java/reeldeal/store/StaleStart.java
+++ b/src/main/java/reeldeal/store/StaleStart.java
@@ -1,6 +1,5 @@
 package reeldeal.store;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -42,20 +41,16 @@
      * Creates the copy from a state and the log entries that follow it, and notifies the listeners.
      */
     void createCopy(KeyValueState.Frozen state, List<Entry> entries) {
-        try {
-            KeyValueState stale = KeyValueState.fromBytes(state.toBytes());
-            applySupported(stale, entries);
-            copy = stale;
-            log.accept(
-                    "store: the group was not reached within "
-                            + StoreNode.STALE_START_MS
-                            + " ms; going on from the copy here, version "
-                            + stale.version()
-                            + ", marked as stale");
-            listeners.forEach(listener -> listener.accept(stale));
-        } catch (IOException e) {
-            log.accept("store: the state on this node's disk cannot be read: " + e.getMessage());
-        }
+        KeyValueState stale = state.thaw();
+        applySupported(stale, entries);
+        copy = stale;
+        log.accept(
+                "store: the group was not reached within "
+                        + StoreNode.STALE_START_MS
+                        + " ms; going on from the copy here, version "
+                        + stale.version()
+                        + ", marked as stale");
+        listeners.forEach(listener -> listener.accept(stale));
     }
 
     private static void applySupported(KeyValueState state, List<Entry> entries) {
--- a/src/main/java/reeldeal/store/StoreLoop.java
+++ b/src/main/java/reeldeal/store/StoreLoop.java
@@ -1,6 +1,7 @@
 package reeldeal.store;
 
 import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -19,8 +20,9 @@
         eventLoopGroup.next().execute(task);
     }
 
-    void schedule(long delayMs, Runnable task) {
-        eventLoopGroup.next().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    /** Schedules a task; the future cancels it, and then no longer refers to it. */
+    Future<?> schedule(long delayMs, Runnable task) {
+        return eventLoopGroup.next().schedule(task, delayMs, TimeUnit.MILLISECONDS);
     }
 
     void scheduleAtFixedRate(long periodMs, Runnable task) {
--- a/src/main/java/reeldeal/store/StoreNode.java
+++ b/src/main/java/reeldeal/store/StoreNode.java
@@ -10,10 +10,10 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import reeldeal.consensus.Entry;
 import reeldeal.consensus.GroupConfiguration;
 import reeldeal.consensus.RaftNode;
+import reeldeal.consensus.RaftSettings;
 import reeldeal.storage.DataDirectory;
 
 /**
@@ -71,6 +71,7 @@
     private final PeerConnections connections;
     private final PeerDirectory peers;
     private final LogApplier applier;
+    private final StoreMemory memory;
     private final SnapshotScheduler snapshots;
     private final RaftDriver driver;
     private final WriteProposer proposer;
@@ -87,6 +88,16 @@
      */
     public StoreNode(EventLoopGroup group, StoreConfig config, Consumer<String> log)
             throws IOException {
+        this(group, config, StoreMemoryLimits.ofThisProcess(), log);
+    }
+
+    /** Opens the node's data directory, with memory limits other than those of this process. */
+    StoreNode(
+            EventLoopGroup group,
+            StoreConfig config,
+            StoreMemoryLimits memoryLimits,
+            Consumer<String> log)
+            throws IOException {
         this.config = config;
         this.log = log;
         loop = new StoreLoop(group);
@@ -96,26 +107,41 @@
         raft =
                 new RaftNode(
                         config.node(),
-                        RaftNode.Settings.DEFAULT,
+                        RaftSettings.DEFAULT,
                         persistedState,
                         new SplittableRandom()::nextInt);
-        connections = new PeerConnections(group, config.group(), config.node(), log);
+        connections =
+                new PeerConnections(
+                        group, config.group(), config.node(), memoryLimits.unsentBytes(), log);
         peers = new PeerDirectory(config, connections);
         WriteQueue writes = new WriteQueue(loop);
-        KeyValueState state = KeyValueState.fromBytes(persistedState.snapshot().data());
+        KeyValueState state = KeyValueState.fromSnapshot(persistedState.snapshot().data());
+        if (persistedState.snapshot().index() > 0) {
+            raft.replaceSnapshotData(persistedState.snapshot().index(), state.freeze());
+        }
+        directory.releaseOpenResult();
         applier = new LogApplier(state, writes, peers, log);
+        memory = new StoreMemory(memoryLimits, raft, applier, log);
         snapshots = new SnapshotScheduler(loop, directory, log);
         driver =
                 new RaftDriver(
                         config.node(),
                         raft,
                         new RaftDriver.Components(
-                                status, connections, peers, applier, writes, snapshots),
+                                status, connections, peers, applier, writes, snapshots, memory),
                         directory,
                         loop,
                         log);
-        proposer = new WriteProposer(raft, driver, writes, status);
-        forwarder = new WriteForwarder(identity, raft, status, proposer, connections, loop);
+        proposer = new WriteProposer(raft, driver, writes, status, memory);
+        forwarder =
+                new WriteForwarder(
+                        identity,
+                        raft,
+                        status,
+                        proposer,
+                        connections,
+                        loop,
+                        memoryLimits.queuedBytes());
         router =
                 new PeerMessageRouter(
                         config.node(),
@@ -317,9 +343,15 @@
         return applier.state().bytesUnder(prefix.substring(0, prefix.indexOf('/')));
     }
 
-    /** Returns the first {@code limit} values under a prefix with keys after {@code after}. */
-    public Map<String, KeyValueState.Value> page(String prefix, String after, int limit) {
-        return applier.state().page(prefix, after, limit);
+    /** Returns a page of the values under a prefix; see {@link KeyValueState#page}. */
+    public Map<String, KeyValueState.Value> page(
+            String prefix, String after, int limit, int maxLength) {
+        return applier.state().page(prefix, after, limit, maxLength);
+    }
+
+    /** Returns the sizes of what this node keeps in memory, and their bounds. */
+    public StoreMemory memory() {
+        return memory;
     }
 
     /** Returns the feature level, which determines the commands and rules in effect. */
@@ -354,42 +386,6 @@
         forwarder.submit(preconditions, changes, callback);
     }
 
-    /** An answer to an operator; {@code leader} is the address to ask instead, or empty. */
-    public record AdminAnswer(boolean ok, String text, String leader) {}
-
-    /** Answers an operator's request; calls after the first one have no effect. */
-    public static final class AdminReply {
-        private final Supplier<AdminAnswer> redirection;
-        private Consumer<AdminAnswer> receiver;
-
-        AdminReply(Consumer<AdminAnswer> receiver, Supplier<AdminAnswer> redirection) {
-            this.receiver = receiver;
-            this.redirection = redirection;
-        }
-
-        private void send(AdminAnswer answer) {
-            if (receiver != null) {
-                receiver.accept(answer);
-                receiver = null;
-            }
-        }
-
-        /** Answers that the request was carried out, or with the requested information. */
-        public void answer(String text) {
-            send(new AdminAnswer(true, text, ""));
-        }
-
-        /** Answers that the request was not carried out, with the reason. */
-        public void reject(String reason) {
-            send(new AdminAnswer(false, reason, ""));
-        }
-
-        /** Answers that only the leader can do it, with the leader's address if known. */
-        public void redirect() {
-            send(redirection.get());
-        }
-    }
-
     /** Sets the handler of operators' requests that begin with a word. */
     public void onAdminRequest(String word, BiConsumer<String, AdminReply> handler) {
         router.onAdminRequest(word, handler);
--- a/src/main/java/reeldeal/store/WriteForwarder.java
+++ b/src/main/java/reeldeal/store/WriteForwarder.java
@@ -31,7 +31,8 @@
             StoreStatus status,
             WriteProposer proposer,
             PeerConnections connections,
-            StoreLoop loop) {
+            StoreLoop loop,
+            long maxQueuedBytes) {
         this.node = identity.node();
         this.session = identity.session();
         this.raft = raft;
@@ -39,7 +40,8 @@
         this.proposer = proposer;
         this.connections = connections;
         this.loop = loop;
-        this.writes = new ForwardedWrites(session, ForwardedWrites.Limits.DEFAULT);
+        this.writes =
+                new ForwardedWrites(session, ForwardedWrites.Limits.ofQueuedBytes(maxQueuedBytes));
     }
 
     private static long nowMs() {
--- a/src/main/java/reeldeal/store/WriteProposer.java
+++ b/src/main/java/reeldeal/store/WriteProposer.java
@@ -14,12 +14,19 @@
     private final RaftDriver driver;
     private final WriteQueue writes;
     private final StoreStatus status;
+    private final StoreMemory memory;
 
-    WriteProposer(RaftNode raft, RaftDriver driver, WriteQueue writes, StoreStatus status) {
+    WriteProposer(
+            RaftNode raft,
+            RaftDriver driver,
+            WriteQueue writes,
+            StoreStatus status,
+            StoreMemory memory) {
         this.raft = raft;
         this.driver = driver;
         this.writes = writes;
         this.status = status;
+        this.memory = memory;
     }
 
     static boolean isTooLarge(byte[] command) {
@@ -55,6 +62,10 @@
             callback.accept(new StoreNode.Rejected("the write is too large"));
         } else if (writes.isFull()) {
             callback.accept(new StoreNode.NotLeader("too many writes are waiting"));
+        } else if (memory.isLogFull(data.length)) {
+            callback.accept(new StoreNode.NotLeader("the log is full until it is compacted"));
+        } else if (memory.isStateFull(command)) {
+            callback.accept(new StoreNode.Rejected("the store is full: it may only shrink"));
         } else {
             long index = driver.propose(data);
             if (index < 0) {
--- a/src/main/java/reeldeal/store/WriteQueue.java
+++ b/src/main/java/reeldeal/store/WriteQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.TreeMap;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import reeldeal.consensus.Entry;
 
@@ -17,6 +18,7 @@
         private final long term;
         private final List<Change> changes;
         private Consumer<StoreNode.Result> callback;
+        private Future<?> timeout;
 
         PendingWrite(long term, List<Change> changes, Consumer<StoreNode.Result> callback) {
             this.term = term;
@@ -28,6 +30,8 @@
             Consumer<StoreNode.Result> unanswered = callback;
             callback = null;
             if (unanswered != null) {
+                // The timeout would keep the changes in memory until it is due.
+                timeout.cancel(false);
                 unanswered.accept(result);
             }
         }
@@ -88,7 +92,7 @@
     void add(long index, long term, List<Change> changes, Consumer<StoreNode.Result> callback) {
         PendingWrite write = new PendingWrite(term, changes, callback);
         pending.put(index, write);
-        loop.schedule(TIMEOUT_MS, () -> write.answer(new StoreNode.Unknown()));
+        write.timeout = loop.schedule(TIMEOUT_MS, () -> write.answer(new StoreNode.Unknown()));
     }
 
     /** Removes and returns the write at the index of an entry that is being applied. */
--- a/src/main/java/reeldeal/takeover/RecordSweeper.java
+++ b/src/main/java/reeldeal/takeover/RecordSweeper.java
@@ -21,20 +21,26 @@
     static final int INTERVAL_MS = 1_000;
 
     private static final int PAGE_SIZE = 500;
+
+    /** The length of the values of a page, in characters, after which no further one is added. */
+    private static final int PAGE_LENGTH = 1 << 20;
+
     private static final String QUOTA_KEY =
             KeyValueState.QUOTA_PREFIX
                     + RequestRecord.ROOT.substring(0, RequestRecord.ROOT.length() - 1);
 
     private final StoreNode store;
     private final TakeoverConfig config;
+    private final RecordCapacity capacity;
 
     /** The store's key after which the next page begins. */
     private String lastSweptKey = RequestRecord.ROOT;
 
     private boolean writeInProgress;
 
-    RecordSweeper(StoreNode store, TakeoverConfig config) {
+    RecordSweeper(StoreNode store, TakeoverConfig config, RecordCapacity capacity) {
         this.store = store;
+        this.capacity = capacity;
         this.config = config;
     }
 
@@ -59,7 +65,7 @@
     }
 
     private void maintainQuota() {
-        String quota = String.valueOf(config.maxBytes());
+        String quota = String.valueOf(capacity.maxBytes());
         if (!quota.equals(store.get(QUOTA_KEY))) {
             store.write(List.of(new Change(QUOTA_KEY, quota)), result -> {});
         }
@@ -67,14 +73,13 @@
 
     private List<RequestRecord> nextPage() {
         Map<String, KeyValueState.Value> page =
-                store.page(RequestRecord.ROOT, lastSweptKey, PAGE_SIZE);
+                store.page(RequestRecord.ROOT, lastSweptKey, PAGE_SIZE, PAGE_LENGTH);
         List<RequestRecord> records = new ArrayList<>();
         page.forEach(
                 (key, value) ->
                         records.add(RequestRecord.parse(key, value.text(), value.version())));
-        boolean isLastPage = page.size() < PAGE_SIZE;
         lastSweptKey =
-                isLastPage
+                records.isEmpty()
                         ? RequestRecord.ROOT
                         : RequestRecord.storeKey(records.get(records.size() - 1).key());
         return records;
--- a/src/main/java/reeldeal/takeover/RequestRecordStore.java
+++ b/src/main/java/reeldeal/takeover/RequestRecordStore.java
@@ -23,6 +23,7 @@
 import reeldeal.fleet.takeover.RequestAction;
 import reeldeal.fleet.takeover.RequestRecord;
 import reeldeal.fleet.takeover.TakeoverPolicy;
+import reeldeal.store.AdminReply;
 import reeldeal.store.Change;
 import reeldeal.store.KeyValueState;
 import reeldeal.store.StoreNode;
@@ -40,11 +41,6 @@
     private static final int MAX_BATCHES = 3;
     private static final int RETRY_MS = 300;
 
-    /**
-     * The share of the quota up to which new records are made; the rest is reserved for outcomes.
-     */
-    private static final double QUOTA_SHARE_FOR_NEW = 0.8;
-
     /** Runs requests and answers clients at the broker. Called on the store's loop. */
     interface Runner {
         /** Runs a request under its record. */
@@ -70,6 +66,7 @@
     private final InFlightRequests requests;
     private final GroupCommit groupCommit =
             new GroupCommit(MAX_BATCH_WRITES, MAX_BATCH_LENGTH, MAX_BATCHES);
+    private final RecordCapacity capacity;
     private final RecordSweeper sweeper;
     private final RequestCounters counters = new RequestCounters();
 
@@ -106,7 +103,8 @@
         this.config = config;
         this.wallClockErrorMs = wallClockErrorMs;
         this.log = log;
-        sweeper = new RecordSweeper(store, config);
+        capacity = new RecordCapacity(store, config.maxBytes(), log);
+        sweeper = new RecordSweeper(store, config, capacity);
         requests =
                 new InFlightRequests(
                         store.node(),
@@ -251,10 +249,8 @@
                                     + " ms off the fleet's: the node makes no request records and takes over none"
                             : "work: this node's wall clock is within the allowed error of the fleet's again");
         }
-        boolean isQuotaFull =
-                store.bytesUnder(RequestRecord.ROOT) > config.maxBytes() * QUOTA_SHARE_FOR_NEW;
         requests.setClockInDoubt(!isClockAccurate);
-        requests.setStoreFull(isQuotaFull || isStoreSlow());
+        requests.setStoreFull(capacity.isFull(groupCommit.valueLength()) || isStoreSlow());
     }
 
     private boolean isStoreSlow() {
@@ -334,7 +330,7 @@
     // ---- admin requests ----
 
     /** Answers {@code work [KEY]} with the counts, or with one record without its body. */
-    private void onAdminRequest(String text, StoreNode.AdminReply reply) {
+    private void onAdminRequest(String text, AdminReply reply) {
         String key = text.substring("work".length()).trim();
         if (key.isEmpty()) {
             reply.answer(status());
@@ -359,6 +355,7 @@
                         .with("in_hand", ownedKeys.size())
                         .with("open_in_all", requests.openRecordCount())
                         .with("bytes", store.bytesUnder(RequestRecord.ROOT))
+                        .with("max_bytes", capacity.maxBytes())
                         .with("writes_waiting", groupCommit.size());
         counters.addTo(status);
         return status.toString();
--- a/src/test/java/reeldeal/consensus/ConsensusSimulation.java
+++ b/src/test/java/reeldeal/consensus/ConsensusSimulation.java
@@ -71,7 +71,7 @@
         void start() {
             incarnation++;
             raft = new RaftNode(id, conditions.settings(), disk.contents(), random::nextInt, rules);
-            state = decode(disk.snapshot().data());
+            state = decode(disk.snapshot().data().toBytes());
             applied = disk.snapshot().index();
             schedule(tickMs(), this::tick);
             step();
@@ -176,7 +176,7 @@
             }
             ready.messages.forEach(ConsensusSimulation.this::send);
             if (ready.install() != null) {
-                state = decode(ready.install().data());
+                state = decode(ready.install().data().toBytes());
                 applied = ready.install().index();
                 safetyChecks.onInstall(id, applied, state);
             }
@@ -234,7 +234,7 @@
             safetyChecks.onState(applied, state);
             answerWrite(entry, text);
             if (applied - disk.snapshot().index() > conditions.rates().compactEvery()) {
-                raft.compact(applied, encode(state));
+                raft.compact(applied, SnapshotData.of(encode(state)));
             }
         }
 
--- a/src/test/java/reeldeal/consensus/ElectionTest.java
+++ b/src/test/java/reeldeal/consensus/ElectionTest.java
@@ -11,7 +11,7 @@
     private final RaftNode node =
             new RaftNode(
                     "b",
-                    RaftNode.Settings.DEFAULT,
+                    RaftSettings.DEFAULT,
                     RaftNode.PersistentState.fresh(ReliableGroup.CONFIGURATION),
                     bound -> 0);
 
@@ -73,7 +73,7 @@
 
     @Test
     public void withoutALeaderANodeStartsAPreVote() {
-        tick(RaftNode.Settings.DEFAULT.electionTicks());
+        tick(RaftSettings.DEFAULT.electionTicks());
         assertEquals(RaftNode.Role.PRE_CANDIDATE, node.role());
         assertEquals(0, node.term());
         assertNull(node.leader());
--- a/src/test/java/reeldeal/consensus/LogReplicationTest.java
+++ b/src/test/java/reeldeal/consensus/LogReplicationTest.java
@@ -14,7 +14,7 @@
     private final RaftNode follower =
             new RaftNode(
                     "b",
-                    RaftNode.Settings.DEFAULT,
+                    RaftSettings.DEFAULT,
                     RaftNode.PersistentState.fresh(ReliableGroup.CONFIGURATION),
                     bound -> 0);
 
@@ -65,7 +65,7 @@
 
     @Test
     public void aFollowerThatLostAcknowledgedEntriesIsReported() {
-        ReliableGroup group = new ReliableGroup(RaftNode.Settings.DEFAULT);
+        ReliableGroup group = new ReliableGroup(RaftSettings.DEFAULT);
         RaftNode leader = group.electLeader();
         leader.propose(NO_DATA);
         group.deliver();
--- a/src/test/java/reeldeal/consensus/RaftLogTest.java
+++ b/src/test/java/reeldeal/consensus/RaftLogTest.java
@@ -71,8 +71,8 @@
     public void onlyDeliveredEntriesAreCompacted() {
         append(1, 1, 1);
         log.commitTo(2);
-        assertFalse(log.compact(3, NO_DATA));
-        assertTrue(log.compact(2, NO_DATA));
+        assertFalse(log.compact(3, SnapshotData.of(NO_DATA)));
+        assertTrue(log.compact(2, SnapshotData.of(NO_DATA)));
         assertEquals(2, log.snapshotIndex());
         assertEquals(-1, log.termAt(1));
         assertEquals(1, log.termAt(3));
--- a/src/test/java/reeldeal/consensus/RaftNodeTest.java
+++ b/src/test/java/reeldeal/consensus/RaftNodeTest.java
@@ -14,7 +14,7 @@
 public class RaftNodeTest {
     private record DiskWrite(long request, long doneAtTick) {}
 
-    private final ReliableGroup group = new ReliableGroup(RaftNode.Settings.DEFAULT);
+    private final ReliableGroup group = new ReliableGroup(RaftSettings.DEFAULT);
 
     @Test
     public void aPrioritizedFollowerIsNotifiedOfACommitBeforeTheNextHeartbeat() {
@@ -56,7 +56,7 @@
             assertTrue(
                     "seed " + seed + ": no leader after 400 ticks",
                     electsOnSlowDisks(
-                            ReliableGroup.createNodes(RaftNode.Settings.DEFAULT, random::nextInt)));
+                            ReliableGroup.createNodes(RaftSettings.DEFAULT, random::nextInt)));
         }
     }
 
@@ -92,8 +92,7 @@
      */
     private static void write(ArrayDeque<DiskWrite> disk, Ready.Persist persist, long tick) {
         long start = disk.isEmpty() ? tick : disk.peekLast().doneAtTick();
-        disk.add(
-                new DiskWrite(persist.number(), start + RaftNode.Settings.DEFAULT.electionTicks()));
+        disk.add(new DiskWrite(persist.number(), start + RaftSettings.DEFAULT.electionTicks()));
     }
 
     private static boolean hasLeader(Map<String, RaftNode> nodes) {
--- a/src/test/java/reeldeal/consensus/ReadIndexTest.java
+++ b/src/test/java/reeldeal/consensus/ReadIndexTest.java
@@ -7,10 +7,9 @@
 
 /** Tests when a leader answers or fails reads. */
 public class ReadIndexTest {
-    private static final RaftNode.Settings WITH_LEASE =
-            new RaftNode.Settings(10, 2, 4, 256 * 1024, 32);
+    private static final RaftSettings WITH_LEASE = new RaftSettings(10, 2, 4, 256 * 1024, 32);
 
-    private final ReliableGroup group = new ReliableGroup(RaftNode.Settings.DEFAULT);
+    private final ReliableGroup group = new ReliableGroup(RaftSettings.DEFAULT);
 
     @Test
     public void aReadIsAnsweredOnceAMajorityConfirmsTheLeader() {
@@ -36,7 +35,7 @@
         group.stop("b");
         group.stop("c");
         leader.read(7);
-        for (int i = 0; i < 2 * RaftNode.Settings.DEFAULT.electionTicks(); i++) {
+        for (int i = 0; i < 2 * RaftSettings.DEFAULT.electionTicks(); i++) {
             leader.tick();
         }
         assertEquals(RaftNode.Role.FOLLOWER, leader.role());
--- a/src/test/java/reeldeal/consensus/ReliableGroup.java
+++ b/src/test/java/reeldeal/consensus/ReliableGroup.java
@@ -17,12 +17,12 @@
     private final Set<String> stopped = new HashSet<>();
 
     /** Creates the group; node "a" has the shortest election timeout. */
-    ReliableGroup(RaftNode.Settings settings) {
+    ReliableGroup(RaftSettings settings) {
         nodes = createNodes(settings, bound -> bound / 2);
         nodes.put("a", createNode("a", settings, bound -> 0));
     }
 
-    static Map<String, RaftNode> createNodes(RaftNode.Settings settings, IntUnaryOperator random) {
+    static Map<String, RaftNode> createNodes(RaftSettings settings, IntUnaryOperator random) {
         Map<String, RaftNode> nodes = new TreeMap<>();
         for (String node : CONFIGURATION.voters()) {
             nodes.put(node, createNode(node, settings, random));
@@ -31,7 +31,7 @@
     }
 
     private static RaftNode createNode(
-            String node, RaftNode.Settings settings, IntUnaryOperator random) {
+            String node, RaftSettings settings, IntUnaryOperator random) {
         return new RaftNode(node, settings, RaftNode.PersistentState.fresh(CONFIGURATION), random);
     }
 
--- a/src/test/java/reeldeal/consensus/SimulatedConditions.java
+++ b/src/test/java/reeldeal/consensus/SimulatedConditions.java
@@ -18,7 +18,7 @@
 record SimulatedConditions(
         boolean leaderStorm,
         int voters,
-        RaftNode.Settings settings,
+        RaftSettings settings,
         boolean clockJumps,
         boolean slowDisks,
         boolean longDelays,
@@ -39,8 +39,8 @@
         int voters = leaderStorm ? 5 : 3 + 2 * random.nextInt(3);
         int leaseTicks = !leaderStorm && random.nextInt(4) == 0 ? 4 : 0;
         int messageBytes = leaderStorm || random.nextInt(3) == 0 ? 1 : 20 + random.nextInt(200);
-        RaftNode.Settings settings =
-                new RaftNode.Settings(10, 2, leaseTicks, messageBytes, 1 + random.nextInt(8));
+        RaftSettings settings =
+                new RaftSettings(10, 2, leaseTicks, messageBytes, 1 + random.nextInt(8));
         boolean clockJumps = leaseTicks == 0 && random.nextBoolean();
         boolean slowDisks = random.nextBoolean();
         boolean longDelays = random.nextBoolean();
--- a/src/test/java/reeldeal/consensus/SnapshotTransferTest.java
+++ b/src/test/java/reeldeal/consensus/SnapshotTransferTest.java
@@ -14,10 +14,7 @@
 
     private final RaftNode follower =
             new RaftNode(
-                    "b",
-                    RaftNode.Settings.DEFAULT,
-                    RaftNode.PersistentState.fresh(GROUP),
-                    bound -> 0);
+                    "b", RaftSettings.DEFAULT, RaftNode.PersistentState.fresh(GROUP), bound -> 0);
 
     private Ready receive(int offset, int... bytes) {
         byte[] data = new byte[bytes.length];
@@ -39,7 +36,7 @@
     public void theLastChunkInstallsTheSnapshot() {
         receive(0, 1, 2);
         Ready ready = receive(2, 3, 4);
-        assertArrayEquals(new byte[] {1, 2, 3, 4}, ready.install().data());
+        assertArrayEquals(new byte[] {1, 2, 3, 4}, ready.install().data().toBytes());
         assertEquals(9, follower.commitIndex());
     }
 
@@ -48,7 +45,7 @@
         receive(0, 1);
         receive(1, 2, 3);
         receive(1, 2, 3);
-        assertArrayEquals(new byte[] {1, 2, 3, 4}, receive(3, 4).install().data());
+        assertArrayEquals(new byte[] {1, 2, 3, 4}, receive(3, 4).install().data().toBytes());
     }
 
     @Test
--- a/src/test/java/reeldeal/storage/DataDirectoryTest.java
+++ b/src/test/java/reeldeal/storage/DataDirectoryTest.java
@@ -435,7 +435,7 @@
         }
         RaftNode.PersistentState state = read(baseDirectory, 300);
         assertEquals(9, state.snapshot().index());
-        assertEquals(50, state.snapshot().data().length);
+        assertEquals(50, state.snapshot().data().length());
         assertEquals(1, state.entries().size());
     }
 }
--- a/src/test/java/reeldeal/store/ForwardedWritesTest.java
+++ b/src/test/java/reeldeal/store/ForwardedWritesTest.java
@@ -52,7 +52,7 @@
                         Comparator.comparingLong(Event::time).thenComparingInt(Event::order));
         private final KeyValueState state = new KeyValueState();
         private final ForwardedWrites writes =
-                new ForwardedWrites("n:1", new ForwardedWrites.Limits(3, 4, 2_000, 100));
+                new ForwardedWrites("n:1", new ForwardedWrites.Limits(3, 4, 1_000, 2_000, 100));
         private final Map<Integer, StoreNode.Result> results = new HashMap<>();
         private final Map<String, Integer> applied = new HashMap<>();
         private final List<String> errors = new ArrayList<>();
--- a/src/test/java/reeldeal/store/LogApplierTest.java
+++ b/src/test/java/reeldeal/store/LogApplierTest.java
@@ -101,7 +101,7 @@
         other.apply(1, entry(1, 1, new Change("same", "1")).data(), ignored);
         other.apply(2, entry(2, 1, new Change("new", "2")).data(), ignored);
         published.clear();
-        applier.install(other.freeze().toBytes());
+        applier.install(other.freeze());
         assertEquals(
                 List.of(List.of(new Change("deleted", null), new Change("new", "2"))), published);
     }
--- a/src/test/java/reeldeal/store/StoreGroup.java
+++ b/src/test/java/reeldeal/store/StoreGroup.java
@@ -187,7 +187,7 @@
         return result.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    StoreNode.AdminAnswer sendAdminRequest(String node, String request) throws Exception {
+    AdminAnswer sendAdminRequest(String node, String request) throws Exception {
         return AdminClient.send(addresses.get(node), "g", request, ADMIN_TIMEOUT_MS);
     }
 
--- a/src/test/java/reeldeal/store/StoreNodeTest.java
+++ b/src/test/java/reeldeal/store/StoreNodeTest.java
@@ -151,7 +151,7 @@
         assertTrue(group.log().stream().noneMatch(line -> line.contains("raise")));
         StoreNode joined = group.startJoining(learner);
         int port = group.addressOf(learner).getPort();
-        StoreNode.AdminAnswer added =
+        AdminAnswer added =
                 group.sendAdminRequest("a", "store add " + learner + " 127.0.0.1:" + port);
         assertTrue(added.text(), added.ok());
         group.await(joined::isCurrent);
--- a/src/test/java/reeldeal/store/StoredDataTest.java
+++ b/src/test/java/reeldeal/store/StoredDataTest.java
@@ -48,7 +48,7 @@
     }
 
     private static KeyValueState replay(RaftNode.PersistentState persisted) throws IOException {
-        KeyValueState state = KeyValueState.fromBytes(persisted.snapshot().data());
+        KeyValueState state = KeyValueState.fromSnapshot(persisted.snapshot().data());
         for (Entry entry : persisted.entries()) {
             state.apply(entry.index(), entry.data(), new ArrayList<>());
         }
@@ -74,7 +74,7 @@
     public void aSnapshotGivesTheSameState() throws Exception {
         RaftNode.PersistentState persisted = open("snapshot", "restored n1");
         assertEquals(574, persisted.snapshot().index());
-        assertArrayEquals(recordedState(), persisted.snapshot().data());
+        assertArrayEquals(recordedState(), persisted.snapshot().data().toBytes());
         assertArrayEquals(recordedState(), replay(persisted).freeze().toBytes());
     }
 
