Bound the replies that the second front keeps for idempotency keys by the heap

Beyond that the oldest replies are dropped and their keys are kept, so that a late repeat gets 409 and is not run again.

Evidence: the new test fails with the bound switched off (the oldest reply is still served) and passes with it. No run of a whole broker with this load was made.

--- a/src/test/java/reeldeal/opensearch/IdempotencyCacheTest.java
+++ b/src/test/java/reeldeal/opensearch/IdempotencyCacheTest.java
@@ -15,11 +15,12 @@
 /** Tests how requests with an already used idempotency key are handled. */
 class IdempotencyCacheTest {
     private static final double WINDOW_MS = 2_000;
+    private static final int MAX_HEAP_BYTES = 100_000;
     private static final Reply SERVED = new Reply.Served(true, List.of());
     private static final Reply FAILED = new Reply.Failed("no answer");
 
     private final FakeSubmitter submitter = new FakeSubmitter();
-    private final IdempotencyCache cache = new IdempotencyCache(submitter);
+    private final IdempotencyCache cache = new IdempotencyCache(submitter, MAX_HEAP_BYTES);
     private final List<Reply> firstReplies = new ArrayList<>();
     private final List<Reply> secondReplies = new ArrayList<>();
     private final Consumer<Reply> firstClient = firstReplies::add;
@@ -63,8 +64,12 @@
     }
 
     private SubmitResult submit(String fingerprint, Consumer<Reply> client) {
+        return submit("key", fingerprint, client);
+    }
+
+    private SubmitResult submit(String key, String fingerprint, Consumer<Reply> client) {
         long id = submitter.nextRequestId();
-        Request request = new Request(id, "q" + id, 0, "key", 9_000, false, "x", List.of());
+        Request request = new Request(id, "q" + id, 0, key, 9_000, false, "x", List.of());
         return cache.submit(request, fingerprint, WINDOW_MS, client);
     }
 
@@ -114,6 +119,22 @@
         assertEquals(SubmitResult.WINDOW_EXPIRED, submit("a search", secondClient));
     }
 
+    /** Guards against a cache of large replies that takes the whole heap. */
+    @Test
+    void theOldestReplyIsDroppedAtTheBoundAndItsRequestIsNotRunAgain() {
+        Reply large = new Reply.Served(true, List.of(new Reply.Hit(0, "v".repeat(20_000), 1)));
+        submitter.submitted.get(0).accept(large);
+        for (int i = 1; i <= 4; i++) {
+            submit("key" + i, "a search", firstClient);
+            submitter.submitted.get(i).accept(large);
+        }
+        submitter.now += WINDOW_MS;
+        assertEquals(SubmitResult.WINDOW_EXPIRED, submit("key", "a search", secondClient));
+        assertEquals(SubmitResult.ACCEPTED, submit("key4", "a search", secondClient));
+        assertEquals(List.of(large), secondReplies);
+        assertEquals(5, submitter.submitted.size());
+    }
+
     @Test
     void theRequestIsWithdrawnOnceAllClientsHaveDisconnected() {
         submit("a search", secondClient);
