End a connection on bytes after a response, and give each _msearch call its own

Cause: HttpClient left what followed a response in its parser and took it as the response to the next call. A copy that arrives in a later read, after that call was written, cannot be told from its response: an _msearch response does not show what it answers.

Change: bytes after a response or without a call end the connection; each _msearch call and probe has a connection of its own; interim responses are skipped.

Tests: HttpClientTest and OpenSearchTransportTest; six of the eight failed before, among them both of the transport (text1 for text2, and a probe's answer), and pass now. Two exchanges had taken for granted that the connection is reused; they now require its end after each answer, which is as strict.

--- a/src/main/java/reeldeal/http/HttpClient.java
+++ b/src/main/java/reeldeal/http/HttpClient.java
@@ -18,8 +18,11 @@
 
 /**
  * An HTTP client for one server. It makes one call at a time, on a connection that it keeps open
- * between calls. Not thread-safe: all methods are called on the event loop of the client's group,
- * as are the consumers of the results.
+ * between calls. Bytes after the end of a response end the connection, so that they are never read
+ * as the response to a later call. Bytes that arrive only after the next call was written cannot be
+ * told from its response: a caller whose responses do not show to which call they belong must close
+ * the client after each call. Not thread-safe: all methods are called on the event loop of the
+ * client's group, as are the consumers of the results.
  */
 public final class HttpClient {
 
@@ -168,7 +171,7 @@
 
     private void succeed(HttpMessage response) {
         if (!isFree()) {
-            if (!response.keepsAlive()) {
+            if (!response.keepsAlive() || parser.inMessage()) {
                 closeChannel();
             }
             finish(new Responded(response));
@@ -195,13 +198,20 @@
             if (ctx.channel() != channel) {
                 return;
             }
+            if (isFree()) {
+                closeChannel();
+                return;
+            }
             parser.feed(bytes, 0, bytes.length);
             HttpParser.Result result = parser.next();
-            if (result instanceof HttpParser.Complete complete && !isFree()) {
+            while (result instanceof HttpParser.Complete complete
+                    && complete.message().isInterim()) {
+                result = parser.next();
+            }
+            if (result instanceof HttpParser.Complete complete) {
                 succeed(complete.message());
-            } else if (!(result instanceof HttpParser.NeedMore)) {
-                fail("received a malformed or unexpected response");
-                ctx.close();
+            } else if (result instanceof HttpParser.Malformed) {
+                fail("received a malformed response");
             }
         }
 
--- a/src/main/java/reeldeal/http/HttpMessage.java
+++ b/src/main/java/reeldeal/http/HttpMessage.java
@@ -21,6 +21,7 @@
         String versionOrReason,
         Map<String, String> headers,
         byte[] body) {
+    private static final int SWITCHING_PROTOCOLS = 101;
 
     /** Returns the value of a header, or null if the message does not have it. */
     public String header(String lowerCaseName) {
@@ -32,6 +33,11 @@
         return Integer.parseInt(targetOrStatus);
     }
 
+    /** Whether this is an interim response, which precedes the final one. */
+    boolean isInterim() {
+        return status() / 100 == 1 && status() != SWITCHING_PROTOCOLS;
+    }
+
     /** Returns the path of a request: the target without the query string. */
     public String path() {
         int queryStart = targetOrStatus.indexOf('?');
--- a/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
+++ b/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
@@ -20,21 +20,16 @@
 import reeldeal.searchers.SearcherTransport;
 
 /**
- * The transport to searchers that serve OpenSearch's format. A call has exclusive use of a
- * connection while it is in flight. A call is abandoned by closing its connection once none of its
- * shard requests is pending. Runs on the broker's event loop.
+ * The transport to searchers that serve OpenSearch's format. Each call has a connection of its own:
+ * a response does not show to which call it belongs, so that on a connection with several calls a
+ * repeated response would be taken as the response to the next call. A call is abandoned by closing
+ * its connection once none of its shard requests is pending. Runs on the broker's event loop.
  */
 public final class OpenSearchTransport implements SearcherTransport {
     private static final int MAX_CONNECTIONS_PER_SEARCHER = 8;
     private static final int OK = 200;
     private static final int TOO_MANY_REQUESTS = 429;
 
-    /**
-     * Share of the searchers' idle timeout after which an idle connection is not used again,
-     * because the searcher may be about to reset it.
-     */
-    private static final double USABLE_IDLE_SHARE = 0.6;
-
     /**
      * Time after the latest deadline of a call's shard requests at which the call times out; also
      * the timeout of a probe, ms.
@@ -44,7 +39,6 @@
     private static final double[] NO_LOAD = new double[0];
 
     private final EventLoopGroup group;
-    private final double idleMs;
     private final int connectTimeoutMs;
     private final DoubleSupplier clock;
     private final Consumer<Event> events;
@@ -54,35 +48,37 @@
     /**
      * Creates a transport without connections; they are opened when calls need them.
      *
-     * @param idleMs the time after which searchers reset an idle connection, ms
      * @param clock the broker's clock, ms
      * @param events takes the end of each attempt and the result of each probe
      */
     public OpenSearchTransport(
             EventLoopGroup group,
-            double idleMs,
             int connectTimeoutMs,
             DoubleSupplier clock,
             Consumer<Event> events) {
         this.group = group;
-        this.idleMs = idleMs;
         this.connectTimeoutMs = connectTimeoutMs;
         this.clock = clock;
         this.events = events;
     }
 
-    /** A connection and the shard requests of the call in flight on it. */
+    /** The connection of one call or probe, and the shard requests of the call. */
     private final class Connection {
         final HttpClient client;
+        final String address;
 
         /** The shard requests of the call; null replaces each whose end was already reported. */
         List<Effect.Send> pending = new ArrayList<>();
 
         boolean bodyWritten; // whether the call's body was handed to the socket
-        double lastUsedAt = clock.getAsDouble();
 
-        Connection(InetSocketAddress address) {
-            client = new HttpClient(group, address, connectTimeoutMs);
+        Connection(String address) {
+            this.address = address;
+            int colon = address.lastIndexOf(':');
+            int port = Integer.parseInt(address.substring(colon + 1));
+            InetSocketAddress socketAddress =
+                    new InetSocketAddress(address.substring(0, colon), port);
+            client = new HttpClient(group, socketAddress, connectTimeoutMs);
         }
 
         /** Returns the position of an attempt among the pending shard requests, or -1. */
@@ -111,17 +107,13 @@
             }
             return false;
         }
-
-        boolean isUsable(double minLastUsedAt) {
-            return client.isFree() && lastUsedAt > minLastUsedAt;
-        }
     }
 
     // ---- calls ----
 
     @Override
     public void call(Effect.Call call) {
-        Connection connection = connection(call.searcher());
+        Connection connection = open(call.searcher());
         if (connection == null) {
             AttemptEnd end =
                     new AttemptEnd.Broken(
@@ -130,9 +122,7 @@
             return;
         }
         double now = clock.getAsDouble();
-        connection.lastUsedAt = now;
         connection.pending = new ArrayList<>(call.sends());
-        connection.bodyWritten = false;
         double longestMs = 0;
         for (Effect.Send send : call.sends()) {
             longestMs = Math.max(longestMs, send.remainingMs(now));
@@ -171,11 +161,8 @@
     private void onCallEnd(Connection connection, HttpClient.Result result) {
         List<Effect.Send> pending = connection.pending;
         connection.pending = new ArrayList<>();
-        connection.lastUsedAt = clock.getAsDouble();
+        release(connection);
         CallEnd callEnd = toCallEnd(result, pending.size());
-        if (callEnd.sharedEnd() instanceof AttemptEnd.Broken) {
-            connection.client.close();
-        }
         for (int i = 0; i < pending.size(); i++) {
             if (pending.get(i) != null) {
                 reportEnd(pending.get(i), callEnd.forIndex(i));
@@ -272,7 +259,7 @@
     @Override
     public void probe(Effect.Probe probe) {
         String name = probe.searcher().name();
-        Connection connection = connection(probe.searcher());
+        Connection connection = open(probe.searcher());
         double startedAt = clock.getAsDouble();
         if (connection == null) {
             events.accept(new Event.Probed(name, Outcome.CONNECT_FAILED, 0, NO_LOAD));
@@ -285,8 +272,8 @@
                 () -> new byte[0],
                 (long) GRACE_MS,
                 result -> {
-                    connection.lastUsedAt = clock.getAsDouble();
-                    double elapsedMs = connection.lastUsedAt - startedAt;
+                    release(connection);
+                    double elapsedMs = clock.getAsDouble() - startedAt;
                     events.accept(new Event.Probed(name, probeOutcome(result), elapsedMs, NO_LOAD));
                 });
     }
@@ -310,50 +297,35 @@
     }
 
     /**
-     * Returns a usable free connection to a searcher or else a new one; returns null if the
+     * Returns a new connection to a searcher, which is opened by its call, or null if the
      * searcher's connection limit is reached.
      */
-    private Connection connection(Searcher searcher) {
-        String address = searcher.address();
+    private Connection open(Searcher searcher) {
         List<Connection> connections =
-                connectionsByAddress.computeIfAbsent(address, key -> new ArrayList<>());
-        double minLastUsedAt = minUsableLastUsedAt();
-        for (Connection connection : connections) {
-            if (connection.isUsable(minLastUsedAt)) {
-                return connection;
-            }
-        }
+                connectionsByAddress.computeIfAbsent(searcher.address(), key -> new ArrayList<>());
         if (connections.size() >= MAX_CONNECTIONS_PER_SEARCHER) {
             return null;
         }
-        int colon = address.lastIndexOf(':');
-        int port = Integer.parseInt(address.substring(colon + 1));
-        Connection created =
-                new Connection(new InetSocketAddress(address.substring(0, colon), port));
-        connections.add(created);
-        return created;
+        Connection opened = new Connection(searcher.address());
+        connections.add(opened);
+        return opened;
     }
 
-    private double minUsableLastUsedAt() {
-        return clock.getAsDouble() - USABLE_IDLE_SHARE * idleMs;
-    }
-
-    @Override
-    public void sweep() {
-        double minLastUsedAt = minUsableLastUsedAt();
-        for (List<Connection> connections : connectionsByAddress.values()) {
-            connections.removeIf(connection -> closeIfIdle(connection, minLastUsedAt));
+    /** Closes the connection of a call that has ended. */
+    private void release(Connection connection) {
+        connection.client.close();
+        List<Connection> connections = connectionsByAddress.get(connection.address);
+        if (connections != null) {
+            connections.remove(connection);
+            if (connections.isEmpty()) {
+                connectionsByAddress.remove(connection.address);
+            }
         }
-        connectionsByAddress.values().removeIf(List::isEmpty);
     }
 
-    private static boolean closeIfIdle(Connection connection, double minLastUsedAt) {
-        boolean idle = connection.client.isFree() && connection.lastUsedAt < minLastUsedAt;
-        if (idle) {
-            connection.client.close();
-        }
-        return idle;
-    }
+    /** Does nothing: no connection stays open after its call. */
+    @Override
+    public void sweep() {}
 
     @Override
     public void close() {
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -116,7 +116,6 @@
                                 frameTransport,
                                 new OpenSearchTransport(
                                         group,
-                                        config.idleMs(),
                                         config.connectTimeoutMs(),
                                         clock::now,
                                         this::enqueue),
