--- a/src/main/java/reeldeal/decision/EventClock.java
+++ b/src/main/java/reeldeal/decision/EventClock.java
@@ -2,8 +2,8 @@
 
 /**
  * Holds the time of the event that is being handled, and whether the broker's event loop stalled
- * before that event. Advanced by {@link DecisionEngine} only; times are in milliseconds of the
- * events' clock.
+ * before that event, as during a long garbage collection or while the process is stopped. Advanced
+ * by {@link DecisionEngine} only; times are in milliseconds of the events' clock.
  */
 final class EventClock {
     /** Ticks between two reviews of a waiting query. */
--- a/src/main/java/reeldeal/decision/LatencyEstimator.java
+++ b/src/main/java/reeldeal/decision/LatencyEstimator.java
@@ -14,13 +14,11 @@
     private static final double INITIAL_SHARE = 0.2;
 
     private final double initialMs;
-    private final double callWorkMs;
     private final double[] typicalMs;
     private final int[] samples;
 
     LatencyEstimator(double latencyObjectiveMs, Layout layout) {
         this.initialMs = latencyObjectiveMs * INITIAL_SHARE;
-        this.callWorkMs = layout.callWorkMs();
         this.typicalMs = new double[layout.maxShardsPerCall()];
         this.samples = new int[typicalMs.length];
     }
@@ -42,12 +40,10 @@
 
     /** Records the latency of one answer. */
     void record(int position, double elapsedMs) {
-        // An answer takes at least the call's own work: a shorter time comes from a stalled broker.
-        double latency = Math.max(elapsedMs, callWorkMs);
         double sample =
                 samples[position] == 0
-                        ? latency
-                        : Math.min(latency, MAX_SAMPLE_FACTOR * typicalMs[position]);
+                        ? elapsedMs
+                        : Math.min(elapsedMs, MAX_SAMPLE_FACTOR * typicalMs[position]);
         samples[position]++;
         typicalMs[position] +=
                 (sample - typicalMs[position]) * Math.max(SMOOTHING, 1.0 / samples[position]);
