--- a/src/main/java/reeldeal/consensus/ReceivedSnapshotData.java
+++ b/src/main/java/reeldeal/consensus/ReceivedSnapshotData.java
@@ -28,50 +28,16 @@
         return new ChunkInputStream();
     }
 
-    private final class ChunkInputStream extends InputStream {
+    private final class ChunkInputStream extends PieceInputStream {
         private final Iterator<byte[]> following = chunks.iterator();
-        private byte[] chunk = new byte[0];
-        private int offset;
-        private int unread = length;
 
-        private boolean advance() {
-            while (offset == chunk.length) {
-                if (!following.hasNext()) {
-                    return false;
-                }
-                chunk = following.next();
-                offset = 0;
-            }
-            return true;
+        ChunkInputStream() {
+            super(length);
         }
 
         @Override
-        public int read() {
-            if (!advance()) {
-                return -1;
-            }
-            unread--;
-            return chunk[offset++] & 0xff;
-        }
-
-        @Override
-        public int read(byte[] target, int start, int maxBytes) {
-            if (maxBytes == 0) {
-                return 0;
-            }
-            if (!advance()) {
-                return -1;
-            }
-            int count = Math.min(maxBytes, chunk.length - offset);
-            System.arraycopy(chunk, offset, target, start, count);
-            offset += count;
-            unread -= count;
-            return count;
-        }
-
-        @Override
-        public int available() {
-            return unread;
+        protected byte[] nextPiece() {
+            return following.hasNext() ? following.next() : null;
         }
     }
 }
--- a/src/main/java/reeldeal/store/SnapshotEncoder.java
+++ b/src/main/java/reeldeal/store/SnapshotEncoder.java
@@ -3,17 +3,17 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.stream.Stream;
+import reeldeal.consensus.PieceInputStream;
 
 /**
  * Encodes a snapshot while it is read: only the bytes of one value or session exist at a time. The
  * maps must not change while the stream is in use.
  */
-final class SnapshotEncoder extends InputStream {
+final class SnapshotEncoder extends PieceInputStream {
     /** Writes one piece of the encoding. */
     private interface Piece {
         void writeTo(DataOutputStream out) throws IOException;
@@ -22,9 +22,6 @@
     private final Iterator<Piece> pieces;
     private final ByteArrayOutputStream encoded = new ByteArrayOutputStream();
     private final DataOutputStream out = new DataOutputStream(encoded);
-    private byte[] piece = new byte[0];
-    private int offset;
-    private int unread;
 
     /**
      * Creates a stream at the first byte of the encoding.
@@ -36,7 +33,7 @@
             Map<String, KeyValueState.Value> values,
             Map<String, KeyValueState.Session> sessions,
             int length) {
-        unread = length;
+        super(length);
         Stream<Piece> encodedValues =
                 values.entrySet().stream()
                         .map(
@@ -71,56 +68,23 @@
             Map<String, KeyValueState.Session> sessions) {
         SnapshotEncoder encoder = new SnapshotEncoder(version, values, sessions, 0);
         long length = 0;
-        while (encoder.advance()) {
-            length += encoder.piece.length;
-            encoder.offset = encoder.piece.length;
+        for (byte[] piece = encoder.nextPiece(); piece != null; piece = encoder.nextPiece()) {
+            length += piece.length;
         }
         return Math.toIntExact(length);
     }
 
-    private boolean advance() {
-        while (offset == piece.length) {
-            if (!pieces.hasNext()) {
-                return false;
-            }
-            encoded.reset();
-            try {
-                pieces.next().writeTo(out);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e); // a ByteArrayOutputStream does not throw
-            }
-            piece = encoded.toByteArray();
-            offset = 0;
-        }
-        return true;
-    }
-
-    @Override
-    public int read() {
-        if (!advance()) {
-            return -1;
-        }
-        unread--;
-        return piece[offset++] & 0xff;
-    }
-
     @Override
-    public int read(byte[] target, int start, int maxBytes) {
-        if (maxBytes == 0) {
-            return 0;
+    protected byte[] nextPiece() {
+        if (!pieces.hasNext()) {
+            return null;
         }
-        if (!advance()) {
-            return -1;
+        encoded.reset();
+        try {
+            pieces.next().writeTo(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // a ByteArrayOutputStream does not throw
         }
-        int count = Math.min(maxBytes, piece.length - offset);
-        System.arraycopy(piece, offset, target, start, count);
-        offset += count;
-        unread -= count;
-        return count;
-    }
-
-    @Override
-    public int available() {
-        return unread;
+        return encoded.toByteArray();
     }
 }
--- a/src/main/java/reeldeal/takeover/TakeoverConfig.java
+++ b/src/main/java/reeldeal/takeover/TakeoverConfig.java
@@ -62,21 +62,6 @@
                     100,
                     Set.of("ejections", "paces"));
 
-    /** Returns this configuration with another mode for query classes with idempotency keys. */
-    public TakeoverConfig withKeyedMode(Mode mode) {
-        return new TakeoverConfig(
-                mode,
-                classes,
-                recordTimeoutMs,
-                retentionMs,
-                maxBytes,
-                maxOpenRecords,
-                maxClaims,
-                clockErrorMs,
-                minimumTimeLeftMs,
-                sharedStats);
-    }
-
     /**
      * Returns the mode of a query class; {@code isKeyed} is whether its requests have an
      * idempotency key.
--- a/src/test/java/reeldeal/consensus/RaftLogTest.java
+++ b/src/test/java/reeldeal/consensus/RaftLogTest.java
@@ -78,6 +78,23 @@
         assertEquals(1, log.termAt(3));
     }
 
+    /** Guards against a log whose bound in memory drifts from what it holds. */
+    @Test
+    public void theHeapSizeFollowsTheEntries() {
+        append(1, 1, 1, 1);
+        long entryBytes = log.heapBytes() / 4;
+        log.commitTo(3);
+        assertEquals(3 * entryBytes, log.deliveredHeapBytes());
+        log.truncateFrom(4);
+        assertEquals(3 * entryBytes, log.heapBytes());
+        log.compact(1, SnapshotData.of(NO_DATA));
+        assertEquals(2 * entryBytes, log.heapBytes());
+        assertEquals(2 * entryBytes, log.deliveredHeapBytes());
+        log.install(new Snapshot(9, 2, FIRST_CONFIGURATION, NO_DATA));
+        assertEquals(0, log.heapBytes());
+        assertEquals(0, log.deliveredHeapBytes());
+    }
+
     @Test
     public void aSnapshotOfTheSameHistoryKeepsTheEntriesAfterIt() {
         append(1, 1, 1);
--- a/src/test/java/reeldeal/store/ForwardedWritesTest.java
+++ b/src/test/java/reeldeal/store/ForwardedWritesTest.java
@@ -1,5 +1,6 @@
 package reeldeal.store;
 
+import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
@@ -146,6 +147,21 @@
         }
     }
 
+    /** Guards against a queue that is bounded by its number of writes only. */
+    @Test
+    public void aQueueOfLargeWritesIsFull() {
+        ForwardedWrites writes =
+                new ForwardedWrites("n:1", new ForwardedWrites.Limits(1, 100, 10_000, 2_000, 100));
+        List<StoreNode.Result> answers = new ArrayList<>();
+        List<Change> large = List.of(new Change("k", "v".repeat(6_000)));
+        writes.submit(0, List.of(), large, answers::add);
+        assertEquals(1, writes.dueAttempts(0).size());
+        writes.submit(0, List.of(), large, answers::add);
+        assertEquals(List.of(), answers);
+        writes.submit(0, List.of(), large, answers::add);
+        assertEquals(List.of(new StoreNode.Rejected("too many writes are waiting")), answers);
+    }
+
     @Test
     public void aWriteIsAppliedAtMostOnceAndAnsweredAccordingly() {
         Results counts = new Results();
