--- a/src/test/java/reeldeal/store/StoreHeapProgram.java
+++ b/src/test/java/reeldeal/store/StoreHeapProgram.java
@@ -17,47 +17,77 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * Runs one store node, the only voter of its group, in a process with a small heap. Writes values
- * under new keys until a number of bytes was offered, and deletes some values whenever the store
- * refuses a write. Prints {@code kept=N refused=N}, where {@code kept} counts the values that the
- * store holds, and ends with 0; ends with 1 if the store refuses writes for good.
+ * Runs one store node in a process with a small heap.
  *
- * <p>Arguments: the data directory, the value size in bytes, the bytes to offer.
+ * <p>As the only voter of its group, it writes values under new keys until a number of bytes was
+ * offered, and deletes some values whenever the store refuses a write. Prints {@code kept=N
+ * refused=N}, where {@code kept} counts the values that the store holds, and ends with 0; ends with
+ * 1 if the store refuses writes for good. Arguments: the data directory, the value size in bytes,
+ * the bytes to offer.
+ *
+ * <p>As a learner it follows a leader in another process until it has a key, and then prints and
+ * ends likewise. Arguments: the data directory, the ports of the leader and of this node, the key.
  */
 final class StoreHeapProgram {
     static final String NODE = "a";
     static final String GROUP = "heap";
+    static final String LEARNER = "b";
     private static final int TIMEOUT_MS = 30_000;
     private static final int ATTEMPTS = 2_000;
     private static final int RETRY_MS = 5;
     private static final int MAX_DELETIONS = 16;
-    private static final String PREFIX = "work/";
+    static final String PREFIX = "work/";
     private static final int BATCH_BYTES = 64 * 1024;
 
     private final EventLoopGroup loop = new NioEventLoopGroup(1);
     private final StoreNode node;
     private int refused;
 
-    private StoreHeapProgram(Path directory) throws Exception {
-        InetSocketAddress address = freeAddress();
-        StoreConfig config =
-                new StoreConfig(
-                        GROUP, NODE, Map.of(NODE, address), Set.of(), false, directory, null, 1);
+    private StoreHeapProgram(StoreConfig config) throws Exception {
         node = new StoreNode(loop, config, System.err::println);
         node.start().sync();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
+    static StoreConfig onlyVoter(Path directory, InetSocketAddress address) {
+        return new StoreConfig(
+                GROUP, NODE, Map.of(NODE, address), Set.of(), false, directory, null, 1);
+    }
+
+    private static StoreConfig learner(Path directory, int leaderPort, int port) {
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        Map<String, InetSocketAddress> addresses =
+                Map.of(
+                        NODE,
+                        new InetSocketAddress(loopback, leaderPort),
+                        LEARNER,
+                        new InetSocketAddress(loopback, port));
+        return new StoreConfig(GROUP, LEARNER, addresses, Set.of(NODE), true, directory, null, 1);
+    }
+
+    static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) free.getLocalSocketAddress();
         }
     }
 
     public static void main(String[] args) throws Exception {
-        StoreHeapProgram program = new StoreHeapProgram(Path.of(args[0]));
-        program.awaitLeadership();
+        Path directory = Path.of(args[0]);
+        boolean follows = args.length == 4;
+        StoreHeapProgram program =
+                new StoreHeapProgram(
+                        follows
+                                ? learner(
+                                        directory,
+                                        Integer.parseInt(args[1]),
+                                        Integer.parseInt(args[2]))
+                                : onlyVoter(directory, freeAddress()));
         try {
-            program.offer(Integer.parseInt(args[1]), Long.parseLong(args[2]));
+            if (follows) {
+                program.awaitKey(args[3]);
+            } else {
+                program.awaitLeadership();
+                program.offer(Integer.parseInt(args[1]), Long.parseLong(args[2]));
+            }
         } catch (Exception e) {
             e.printStackTrace();
             System.exit(1);
@@ -67,6 +97,16 @@
         System.exit(0);
     }
 
+    private void awaitKey(String key) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+        while (loop.next().submit(() -> node.get(key)).get() == null) {
+            if (System.nanoTime() > deadline) {
+                throw new TimeoutException("no value of " + key);
+            }
+            Thread.sleep(RETRY_MS);
+        }
+    }
+
     private void awaitLeadership() throws Exception {
         CompletableFuture<Void> leads = new CompletableFuture<>();
         loop.next().execute(() -> node.whenLeading(() -> leads.complete(null)));
--- a/src/test/java/reeldeal/store/StoreHeapTest.java
+++ b/src/test/java/reeldeal/store/StoreHeapTest.java
@@ -3,11 +3,16 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -50,6 +55,10 @@
 
     /** Runs the program on a directory, and returns the number of values that it kept. */
     private int run(Path directory, int valueBytes, long offeredBytes) throws Exception {
+        return run(directory.toString(), String.valueOf(valueBytes), String.valueOf(offeredBytes));
+    }
+
+    private int run(String... arguments) throws Exception {
         List<String> command =
                 new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
         command.addAll(heapFlags());
@@ -57,10 +66,8 @@
                 List.of(
                         "-cp",
                         System.getProperty("java.class.path"),
-                        StoreHeapProgram.class.getName(),
-                        directory.toString(),
-                        String.valueOf(valueBytes),
-                        String.valueOf(offeredBytes)));
+                        StoreHeapProgram.class.getName()));
+        command.addAll(List.of(arguments));
         Path output = folder.newFile().toPath();
         Path errors = folder.newFile().toPath();
         Process process =
@@ -107,6 +114,119 @@
         assertSurvives(KeyValueState.MAX_VALUE_BYTES);
     }
 
+    /** The old state, the received bytes and the new state are in memory at the same time. */
+    @Test
+    public void aNodeReceivesASnapshotThatReplacesAFullState() throws Exception {
+        EventLoopGroup loop = new NioEventLoopGroup(1);
+        InetSocketAddress address = StoreHeapProgram.freeAddress();
+        int learnerPort = StoreHeapProgram.freeAddress().getPort();
+        String learnerDirectory = folder.newFolder().toPath().toString();
+        StoreMemoryLimits limits = StoreMemoryLimits.ofHeap(64 << 20);
+        StoreNode leader =
+                new StoreNode(
+                        loop,
+                        StoreHeapProgram.onlyVoter(folder.newFolder().toPath(), address),
+                        limits,
+                        line -> {});
+        try {
+            leader.start().sync();
+            FullStore store = new FullStore(loop.next(), leader);
+            store.awaitLeadership();
+            String request = "store add b 127.0.0.1:" + learnerPort;
+            AdminAnswer added = AdminClient.send(address, StoreHeapProgram.GROUP, request, 10_000);
+            assertTrue(added.text(), added.ok());
+            for (String round : List.of("first", "second")) {
+                int values = store.replaceAll(round);
+                int kept =
+                        run(
+                                learnerDirectory,
+                                String.valueOf(address.getPort()),
+                                String.valueOf(learnerPort),
+                                round);
+                assertEquals(values, kept);
+            }
+        } finally {
+            loop.next()
+                    .submit(
+                            () -> {
+                                leader.close();
+                                return null;
+                            })
+                    .sync();
+            loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Fills a store up to its bound. */
+    private static final class FullStore {
+        private static final int VALUE_BYTES = 4_096;
+        private static final int BATCH = 14;
+        private static final double FULL_SHARE = 0.98;
+
+        private final EventLoop loop;
+        private final StoreNode node;
+
+        FullStore(EventLoop loop, StoreNode node) {
+            this.loop = loop;
+            this.node = node;
+        }
+
+        void awaitLeadership() throws Exception {
+            CompletableFuture<Void> leads = new CompletableFuture<>();
+            loop.execute(() -> node.whenLeading(() -> leads.complete(null)));
+            leads.get(TIMEOUT_S, TimeUnit.SECONDS);
+        }
+
+        /** Replaces all values by new ones until full, and then writes the key {@code round}. */
+        int replaceAll(String round) throws Exception {
+            List<String> old =
+                    loop.submit(() -> node.keysUnder(StoreHeapProgram.PREFIX, Integer.MAX_VALUE))
+                            .get();
+            for (List<Change> deletions : batches(old, null)) {
+                while (!write(deletions)) {
+                    Thread.sleep(5); // the log is full until it is compacted
+                }
+            }
+            int written = 0;
+            while (!isNearlyFull()) {
+                List<String> keys = new ArrayList<>();
+                for (int i = 0; i < BATCH; i++) {
+                    keys.add(StoreHeapProgram.PREFIX + round + (written + i));
+                }
+                if (write(batches(keys, "v".repeat(VALUE_BYTES)).get(0))) {
+                    written += BATCH;
+                } else {
+                    Thread.sleep(5); // the log is full until it is compacted
+                }
+            }
+            while (!write(List.of(new Change(round, "")))) {
+                Thread.sleep(5);
+            }
+            return written;
+        }
+
+        private boolean isNearlyFull() throws Exception {
+            StoreMemory memory = node.memory();
+            long fullBytes = (long) (memory.limits().stateBytes() * FULL_SHARE);
+            return loop.submit(memory::stateBytes).get() > fullBytes;
+        }
+
+        private static List<List<Change>> batches(List<String> keys, String value) {
+            List<List<Change>> batches = new ArrayList<>();
+            for (int i = 0; i < keys.size(); i += BATCH) {
+                List<String> batch = keys.subList(i, Math.min(keys.size(), i + BATCH));
+                batches.add(batch.stream().map(key -> new Change(key, value)).toList());
+            }
+            return batches;
+        }
+
+        private boolean write(List<Change> changes) throws Exception {
+            CompletableFuture<StoreNode.Result> result = new CompletableFuture<>();
+            loop.execute(() -> node.write(changes, result::complete));
+            return result.get(TIMEOUT_S, TimeUnit.SECONDS) instanceof StoreNode.Committed;
+        }
+    }
+
     @Test
     public void aNodeStartsOverALogThatAnEarlierVersionLetGrow() throws Exception {
         Path directory = folder.newFolder().toPath();
