Limit a leader's window to what may wait unsent for a peer

Change: the window has as many requests as fit, 7 with 64 MB of heap, 32 as before with a large one.

Measured: the tests of store and consensus pass.

--- a/src/main/java/reeldeal/consensus/RaftSettings.java
+++ b/src/main/java/reeldeal/consensus/RaftSettings.java
@@ -17,4 +17,18 @@
         int electionTicks, int heartbeatTicks, int leaseTicks, int messageBytes, int window) {
     /** Settings for a tick of 50 ms on a local network. */
     public static final RaftSettings DEFAULT = new RaftSettings(10, 2, 0, 256 * 1024, 32);
+
+    /**
+     * Returns these settings with a window whose requests have about this size in all, in bytes,
+     * but with a window of at least one request and of at most the present one.
+     */
+    public RaftSettings limitWindow(long bytes) {
+        long requests = Math.max(1, bytes / messageBytes);
+        return new RaftSettings(
+                electionTicks,
+                heartbeatTicks,
+                leaseTicks,
+                messageBytes,
+                (int) Math.min(window, requests));
+    }
 }
--- a/src/main/java/reeldeal/store/StoreNode.java
+++ b/src/main/java/reeldeal/store/StoreNode.java
@@ -107,7 +107,7 @@
         raft =
                 new RaftNode(
                         config.node(),
-                        RaftSettings.DEFAULT,
+                        RaftSettings.DEFAULT.limitWindow(memoryLimits.unsentBytes()),
                         persistedState,
                         new SplittableRandom()::nextInt);
         connections =
