Leave room for the fleet's writes when records fill the state

Cause: the bound on the state refused all writes that grow it. The old records took 15.3 MB of 13.0, so that the leader could not write its judgement of the loss, and recovery stayed at its first step.

Change: a prefix that holds less than 1% of the heap may grow although the state is at its bound.

--- a/src/main/java/reeldeal/store/KeyValueState.java
+++ b/src/main/java/reeldeal/store/KeyValueState.java
@@ -112,6 +112,7 @@
     private TreePMap<String, Session> sessions = TreePMap.empty();
     private TreePMap<String, Long> bytesByPrefix = TreePMap.empty();
     private final ArrayDeque<ChangeSet> history = new ArrayDeque<>();
+    private TreePMap<String, Long> heapBytesByPrefix = TreePMap.empty();
     private long heapBytes;
     private long historyBytes;
     private long maxHistoryBytes = DEFAULT_MAX_HISTORY_BYTES;
@@ -181,15 +182,27 @@
         maxHistoryBytes = bytes;
     }
 
-    /** Returns the bytes by which changes would grow the heap size; negative if they shrink it. */
-    long heapGrowthOf(List<Change> changes) {
-        long growth = 0;
+    /** Returns the approximate heap size of the values under a prefix, in bytes. */
+    long heapBytesUnder(String prefix) {
+        return heapBytesByPrefix.getOrDefault(prefix, 0L);
+    }
+
+    /**
+     * Returns by how many bytes changes would grow the heap size of the values under each prefix;
+     * negative if they shrink it.
+     */
+    Map<String, Long> heapGrowthOf(List<Change> changes) {
+        Map<String, Long> growthByPrefix = new TreeMap<>();
         for (Change change : changes) {
-            Value before = values.get(change.key());
-            growth += HeapSizes.ofValue(change.key(), change.value());
-            growth -= before == null ? 0 : HeapSizes.ofValue(change.key(), before.text());
+            growthByPrefix.merge(prefixOf(change.key()), heapGrowthOf(change), Long::sum);
         }
-        return growth;
+        return growthByPrefix;
+    }
+
+    private long heapGrowthOf(Change change) {
+        Value before = values.get(change.key());
+        return HeapSizes.ofValue(change.key(), change.value())
+                - (before == null ? 0 : HeapSizes.ofValue(change.key(), before.text()));
     }
 
     /**
@@ -360,7 +373,9 @@
     private void applyChange(long index, Change change) {
         String prefix = prefixOf(change.key());
         long bytes = bytesUnder(prefix) + growthOf(change);
-        heapBytes += heapGrowthOf(List.of(change));
+        long heapGrowth = heapGrowthOf(change);
+        heapBytes += heapGrowth;
+        heapBytesByPrefix = heapBytesByPrefix.plus(prefix, heapBytesUnder(prefix) + heapGrowth);
         bytesByPrefix =
                 bytes == 0 ? bytesByPrefix.minus(prefix) : bytesByPrefix.plus(prefix, bytes);
         values =
@@ -392,6 +407,7 @@
         private final TreePMap<String, Value> frozenValues = values;
         private final TreePMap<String, Session> frozenSessions = sessions;
         private final TreePMap<String, Long> frozenBytesByPrefix = bytesByPrefix;
+        private final TreePMap<String, Long> frozenHeapBytesByPrefix = heapBytesByPrefix;
         private final long frozenHeapBytes = heapBytes;
         private final long frozenVersion = version;
         private volatile int encodedLength;
@@ -420,6 +436,7 @@
             state.values = frozenValues;
             state.sessions = frozenSessions;
             state.bytesByPrefix = frozenBytesByPrefix;
+            state.heapBytesByPrefix = frozenHeapBytesByPrefix;
             state.heapBytes = frozenHeapBytes;
             state.version = frozenVersion;
             state.historyStart = frozenVersion;
--- a/src/main/java/reeldeal/store/StoreMemory.java
+++ b/src/main/java/reeldeal/store/StoreMemory.java
@@ -1,5 +1,6 @@
 package reeldeal.store;
 
+import java.util.Map;
 import java.util.function.Consumer;
 import reeldeal.consensus.Message;
 import reeldeal.consensus.RaftNode;
@@ -48,17 +49,30 @@
         return isFull;
     }
 
-    /** Whether a command would grow a state that is already at its bound. */
+    /**
+     * Whether a command would grow a state that is already at its bound. Prefixes that hold little
+     * may still grow, so that one prefix cannot keep the others from what they need: the fleet has
+     * to write its leases and judgements even if request records fill the state.
+     */
     boolean isStateFull(KeyValueState.Command command) {
         KeyValueState state = applier.state();
-        long growth = state.heapGrowthOf(command.changes());
-        boolean isFull = growth > 0 && state.heapBytes() + growth > limits.stateBytes();
+        Map<String, Long> growthByPrefix = state.heapGrowthOf(command.changes());
+        long growth = growthByPrefix.values().stream().mapToLong(Long::longValue).sum();
+        if (growth <= 0 || state.heapBytes() + growth <= limits.stateBytes()) {
+            return false;
+        }
+        boolean isFull = growthByPrefix.entrySet().stream().anyMatch(this::exceedsReserve);
         if (isFull) {
             reportRefusal("the state is full");
         }
         return isFull;
     }
 
+    private boolean exceedsReserve(Map.Entry<String, Long> growth) {
+        long bytes = applier.state().heapBytesUnder(growth.getKey()) + growth.getValue();
+        return growth.getValue() > 0 && bytes > limits.prefixReserveBytes();
+    }
+
     /**
      * Whether to ignore a message because the log is at its bound. Only entries are ignored, and
      * only while this node has applied entries to compact, so that its log will shrink; the leader
--- a/src/main/java/reeldeal/store/StoreMemoryLimits.java
+++ b/src/main/java/reeldeal/store/StoreMemoryLimits.java
@@ -8,6 +8,8 @@
  * same time, which together with the log has to fit beside the rest of the broker.
  *
  * @param stateBytes the size of the state above which a leader refuses writes that would grow it
+ * @param prefixReserveBytes the size up to which a prefix of the keys may grow even if the state is
+ *     at its bound
  * @param logBytes the size of the log's entries in memory above which a leader refuses writes, and
  *     a follower takes no entries until its compaction has ended
  * @param compactionBytes the size of the applied entries at which the log is compacted
@@ -17,12 +19,14 @@
  */
 public record StoreMemoryLimits(
         long stateBytes,
+        long prefixReserveBytes,
         long logBytes,
         long compactionBytes,
         long historyBytes,
         long queuedBytes,
         long unsentBytes) {
     private static final double STATE_SHARE = 0.2;
+    private static final double PREFIX_RESERVE_SHARE = 0.01;
     private static final double LOG_SHARE = 0.125;
     private static final double COMPACTION_SHARE = 0.0625;
     private static final double HISTORY_SHARE = 0.016;
@@ -32,6 +36,7 @@
     /** A snapshot file holds at most 64 MiB; the encoding is smaller than the state in memory. */
     private static final long MAX_STATE_BYTES = 60 << 20;
 
+    private static final long MAX_PREFIX_RESERVE_BYTES = 3 << 19;
     private static final long MAX_LOG_BYTES = 64 << 20;
 
     /** Bounds the time that reading the log takes at a start. */
@@ -45,6 +50,7 @@
     public static StoreMemoryLimits ofHeap(long heapBytes) {
         return new StoreMemoryLimits(
                 share(heapBytes, STATE_SHARE, MAX_STATE_BYTES),
+                share(heapBytes, PREFIX_RESERVE_SHARE, MAX_PREFIX_RESERVE_BYTES),
                 share(heapBytes, LOG_SHARE, MAX_LOG_BYTES),
                 share(heapBytes, COMPACTION_SHARE, MAX_COMPACTION_BYTES),
                 share(heapBytes, HISTORY_SHARE, MAX_HISTORY_BYTES),
--- a/src/test/java/reeldeal/KnownRedTest.java
+++ b/src/test/java/reeldeal/KnownRedTest.java
@@ -53,11 +53,12 @@
 
     @Test
     public void justTheListedTestMayFailAndIsPrintedWithItsState() throws Exception {
-        assertEquals(0, judge("a.B#red[x.txt] | a cause | issue 7"));
-        assertEquals("known red: a.B#red[x.txt] fails (a cause; issue 7)\n", printed);
-        assertEquals(0, judge("a.B#red[x.txt] | c | 7", "a.B#good | c | 8"));
+        assertEquals(0, judge("a.B#red[x.txt] | mvn test, seed 3 | a fault | issue 7"));
         assertEquals(
-                "known red: a.B#red[x.txt] fails (c; 7)\nknown red: a.B#good passes (c; 8)\n",
+                "known red: a.B#red[x.txt] fails (mvn test, seed 3; a fault; issue 7)\n", printed);
+        assertEquals(0, judge("a.B#red[x.txt] | c | s | 7", "a.B#good | c | s | 8"));
+        assertEquals(
+                "known red: a.B#red[x.txt] fails (c; s; 7)\nknown red: a.B#good passes (c; s; 8)\n",
                 printed);
     }
 
@@ -65,19 +66,20 @@
     public void anyOtherRedFails() throws Exception {
         assertEquals(1, judge(""));
         assertEquals("red: a.B#red[x.txt]\n", printed);
-        assertEquals(1, judge("a.B#good | c | 8"));
+        assertEquals(1, judge("a.B#good | c | s | 8"));
     }
 
     @Test
     public void aListThatIsNotInOrderFails() throws Exception {
-        String red = "a.B#red[x.txt] | c | 7";
-        assertEquals("a field is missing", 1, judge(red, "a.B#good | c"));
-        assertEquals("a field is empty", 1, judge(red, "a.B#good | | 7"));
-        assertEquals("no such test", 1, judge(red, "a.B#none | c | 7"));
-        assertEquals("it did not run", 1, judge(red, "a.B#passedOver | c | 7"));
+        String red = "a.B#red[x.txt] | c | s | 7";
+        assertEquals("a field is missing", 1, judge(red, "a.B#good | c | 8"));
+        assertEquals("a field too many", 1, judge(red, "a.B#good | c | s | 8 | x"));
+        assertEquals("a field is empty", 1, judge(red, "a.B#good | c | | 7"));
+        assertEquals("no such test", 1, judge(red, "a.B#none | c | s | 7"));
+        assertEquals("it did not run", 1, judge(red, "a.B#passedOver | c | s | 7"));
         assertEquals(
                 "a fourth line",
                 1,
-                judge(red, "a.B#good | c | 1", "a.B#good | c | 2", "a.B#good | c | 3"));
+                judge(red, "a.B#good | c | s | 1", "a.B#good | c | s | 2", "a.B#good | c | s | 3"));
     }
 }
