--- a/src/main/java/reeldeal/consensus/RaftLog.java
+++ b/src/main/java/reeldeal/consensus/RaftLog.java
@@ -12,7 +12,7 @@
     private static final int ENTRY_OVERHEAD_BYTES = 32;
 
     /** The approximate heap size of an entry without the content of its data, in bytes. */
-    private static final int ENTRY_HEAP_BYTES = 72;
+    private static final long ENTRY_HEAP_BYTES = 72;
 
     private final Outbox outbox;
     private final List<Entry> entries = new ArrayList<>();
--- a/src/main/java/reeldeal/consensus/SnapshotTransfer.java
+++ b/src/main/java/reeldeal/consensus/SnapshotTransfer.java
@@ -51,7 +51,9 @@
      */
     void releaseIfUnreachable(PeerProgress peer, long tick) {
         boolean isUnreachable = tick - peer.lastMessageTick > context.settings().electionTicks();
-        if (isUnreachable && peer.snapshot != context.log().snapshot()) {
+        boolean isEarlier =
+                peer.snapshot != null && peer.snapshot.index() < context.log().snapshotIndex();
+        if (isUnreachable && isEarlier) {
             peer.endSnapshotTransfer();
         }
     }
--- a/src/main/java/reeldeal/store/HeapSizes.java
+++ b/src/main/java/reeldeal/store/HeapSizes.java
@@ -7,7 +7,7 @@
  * pointers and compact strings. Pure functions.
  */
 final class HeapSizes {
-    private static final int STRING_BYTES = 48;
+    private static final long STRING_BYTES = 48;
     private static final int MAP_ENTRY_BYTES = 96;
     private static final int CHANGE_SET_BYTES = 112;
     private static final int CHANGE_BYTES = 32;
