Add a randomized fault soak with real brokers, failing system calls and a request ledger

Change: the command soak starts brokers with a preloaded library that fails calls at rates set through a mapped file, counts what each connection was read, and judges every request and attempt against the protocol's rules.

--- a/src/main/java/reeldeal/cli/Commands.java
+++ b/src/main/java/reeldeal/cli/Commands.java
@@ -17,6 +17,7 @@
             StoreCommands.class,
             FleetCommands.class,
             FaultInjectionCommand.class,
+            SoakCommand.class,
             MeasureCommands.class,
             CommandLine.HelpCommand.class
         },
@@ -76,6 +77,6 @@
     public void run() {
         throw new ParameterException(
                 spec.commandLine(),
-                "expected a command: serve, benchlink, zone, store, fleet, drill, measure");
+                "expected a command: serve, benchlink, zone, store, fleet, drill, soak, measure");
     }
 }
--- /dev/null
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -0,0 +1,483 @@
+package reeldeal.faultinjection.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * One run of the soak: brokers without a store, or groups of three with a store and a fleet, under
+ * faults that overlap at random. Used by one thread.
+ */
+public final class FaultSoak {
+    /**
+     * The size of a run.
+     *
+     * @param brokers the number of broker processes
+     * @param groups how many of the brokers, in threes, form groups with a store and a fleet
+     * @param seconds how long faults are injected
+     * @param crowd whether idle clients fill the connections of some brokers
+     */
+    public record Size(int brokers, int groups, int seconds, boolean crowd) {}
+
+    /** The violations and the counted figures of a run. */
+    public record Result(List<String> violations, Map<String, Integer> counts) {}
+
+    private static final int GROUP_SIZE = 3;
+    private static final int CELLS = 4;
+    private static final int SHARDS = 12;
+    private static final int REPLICAS = 4;
+    private static final int CLIENTS_PER_BROKER = 4;
+    private static final int THINK_MS = 120;
+    private static final int START_TIMEOUT_MS = 60_000;
+    private static final int FLEET_SETTLE_MS = 5_000;
+    private static final int STEP_MS = 50;
+    private static final long MAX_COUNTED_DEADLINE_MS = 3_000;
+    private static final long KILL_DELAY_MS = 700;
+    private static final int DEDUPLICATION_WINDOW_MS = 2_500;
+    private static final int RESTART_DELAY_MS = 300;
+    private static final int MAX_PAUSE_MS = 140;
+    private static final int CROWD_CONNECTIONS = 150;
+    private static final double SLOW_START_SHARE = 0.2;
+    private static final int SLOW_START_MS = 6_000;
+    private static final double OVERLOAD_FACTOR = 2.5;
+    private static final int OVERLOAD_WINDOW_MS = 3_000;
+    private static final int MEAN_SHARDS = 3;
+
+    /** How busy warm searchers are. */
+    private static final double UTILIZATION = 0.5;
+
+    private static final int HOUR_MS = 3_600_000;
+
+    /** A task of the schedule. */
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private final Size size;
+    private final SplittableRandom random;
+    private final Path folder;
+    private final Path library;
+    private final StallMonitor stalls = new StallMonitor();
+    private final RequestLedger ledger = new RequestLedger(stalls, DEDUPLICATION_WINDOW_MS);
+    private final List<SoakBroker> brokers = new ArrayList<>();
+    private final List<SoakSearcher> searchers = new ArrayList<>();
+    private final List<SoakClient> clients = new ArrayList<>();
+    private final List<Thread> clientThreads = new ArrayList<>();
+    private final List<Socket> crowd = new ArrayList<>();
+    private final TreeMap<Long, List<Task>> schedule = new TreeMap<>();
+    private final Map<Integer, SoakBroker> restartingByGroup = new HashMap<>();
+    private final List<SoakClient.QueryClass> classes;
+    private final int shortestMs;
+    private final int longestMs;
+    private SoakDiscovery discovery;
+    private long faultsEndAtMs;
+    private final long startedAt = System.nanoTime();
+
+    /**
+     * Creates a run that is not started.
+     *
+     * @param library the library of {@link SyscallFaults#compile}
+     * @param folder a folder for the files and logs of the brokers, which is created
+     */
+    public FaultSoak(Size size, long seed, Path library, Path folder) throws IOException {
+        this.size = size;
+        this.library = library;
+        this.folder = Files.createDirectories(folder);
+        random = new SplittableRandom(seed);
+        shortestMs = 800 + random.nextInt(700);
+        longestMs = random.nextInt(4) == 0 ? 4_500 : 1_600 + random.nextInt(1_400);
+        classes =
+                List.of(
+                        new SoakClient.QueryClass("audit-report", longestMs, false, true),
+                        new SoakClient.QueryClass("notice-search", shortestMs, false, false),
+                        new SoakClient.QueryClass("bid-mark", shortestMs + 300, true, false));
+    }
+
+    /** Runs to the end and returns what was found. */
+    public Result run() throws Exception {
+        try {
+            startAll();
+            injectFaults();
+            clients.forEach(SoakClient::stop);
+            for (Thread client : clientThreads) {
+                client.join(longestMs + 2 * START_TIMEOUT_MS / 10);
+            }
+            for (SoakBroker broker : brokers) {
+                for (SyscallFaults.Kind kind : SyscallFaults.Kind.values()) {
+                    for (int i = broker.faults.injected(kind); i > 0; i -= 100) {
+                        ledger.count("hundreds of " + kind);
+                    }
+                }
+            }
+        } finally {
+            closeAll();
+        }
+        Map<String, Integer> counts = ledger.counts();
+        counts.put("harness stalls", stalls.count());
+        return new Result(ledger.violations(), counts);
+    }
+
+    // ---- start ----
+
+    private void startAll() throws Exception {
+        double shardRequestsPerSecond =
+                1_000.0 / THINK_MS * CLIENTS_PER_BROKER * size.brokers() * MEAN_SHARDS;
+        SlowStartBudget budget =
+                new SlowStartBudget(
+                        shardRequestsPerSecond / (CELLS * REPLICAS) / UTILIZATION,
+                        SLOW_START_SHARE,
+                        SLOW_START_MS,
+                        OVERLOAD_FACTOR,
+                        OVERLOAD_WINDOW_MS);
+        discovery = new SoakDiscovery();
+        for (int i = 0; i < CELLS * REPLICAS; i++) {
+            SoakSearcher searcher =
+                    new SoakSearcher("s-" + i, i % CELLS, 5 + random.nextInt(30), budget, ledger);
+            searchers.add(searcher);
+            discovery.publish(searcher, "ready");
+        }
+        List<Integer> ports = freePorts(2 * size.brokers());
+        for (int i = 0; i < size.brokers(); i++) {
+            brokers.add(createBroker(i, ports));
+        }
+        for (SoakBroker broker : brokers) {
+            broker.start();
+        }
+        awaitServing();
+        if (size.groups() > 0) {
+            Thread.sleep(FLEET_SETTLE_MS);
+        }
+        startClients();
+    }
+
+    private void awaitServing() throws Exception {
+        long deadline = System.nanoTime() + START_TIMEOUT_MS * 1_000_000L;
+        while (!brokers.stream().allMatch(SoakBroker::isServing)) {
+            if (System.nanoTime() > deadline) {
+                throw new IOException("not all brokers serve within " + START_TIMEOUT_MS + " ms");
+            }
+            Thread.sleep(STEP_MS);
+        }
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int port = 12_000 + (int) (System.nanoTime() / 1_000 % 15_000);
+                ports.size() < count;
+                port++) {
+            try {
+                held.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+                ports.add(port);
+            } catch (IOException taken) {
+                continue;
+            }
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private boolean isGrouped(int index) {
+        return index < size.groups() * GROUP_SIZE;
+    }
+
+    private SoakBroker createBroker(int index, List<Integer> ports) throws IOException {
+        String name = "n" + index;
+        int port = ports.get(index);
+        SyscallFaults faults =
+                SyscallFaults.create(library, folder.resolve(name + ".faults").toAbsolutePath());
+        Map<String, String> environment =
+                new HashMap<>(faults.environment(random.nextLong() >>> 1));
+        Path config = folder.resolve(name + ".json");
+        Files.writeString(config, brokerConfig(index, port));
+        environment.put("LB_CONFIG", config.toAbsolutePath().toString());
+        if (isGrouped(index)) {
+            Path store = folder.resolve(name + ".store.json");
+            Files.writeString(store, storeConfig(index, ports));
+            environment.put("REELDEAL_STORE", store.toAbsolutePath().toString());
+        } else {
+            environment.put("REELDEAL_STORE", "");
+        }
+        return new SoakBroker(name, port, folder, environment, faults, ledger);
+    }
+
+    private String storeConfig(int index, List<Integer> ports) {
+        int first = index - index % GROUP_SIZE;
+        List<String> nodes = new ArrayList<>();
+        for (int i = first; i < first + GROUP_SIZE; i++) {
+            nodes.add("\"n" + i + "\":\"127.0.0.1:" + ports.get(size.brokers() + i) + "\"");
+        }
+        return String.format(
+                "{\"group\":\"soak%d\",\"node\":\"n%d\",\"folder\":\"%s\",\"nodes\":{%s},"
+                        + "\"fleet\":{\"zone\":\"a\"}}",
+                first,
+                index,
+                folder.resolve("state-n" + index).toAbsolutePath(),
+                String.join(",", nodes));
+    }
+
+    private String brokerConfig(int index, int port) {
+        return String.format(
+                """
+                {"name":"n%d","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%016x",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
+                 "known":%s,
+                 "settings":{
+                  "Categories":[
+                   {"Name":"audit-report","AimMs":%d,"HardLimitMs":%d,"LateWorth":0.1,"Semantics":"repeatable","WindowMs":5000,"Worth":3,"Stream":false},
+                   {"Name":"notice-search","AimMs":%d,"HardLimitMs":%d,"LateWorth":0.1,"Semantics":"repeatable","WindowMs":5000,"Worth":1,"Stream":false},
+                   {"Name":"bid-mark","AimMs":%d,"HardLimitMs":%d,"LateWorth":0.3,"Semantics":"by_key","WindowMs":%d,"Worth":2,"Stream":false}],
+                  "Discovery":"pushed","Family":"fanout",
+                  "FamilyInfo":{"Batch":4,"Cells":%d,"ClassFetch":[2,0,0],"CompleteFrom":[1,1,1],"InARow":1,"LeastShare":[1,1,1],"PartialEarns":[0.9,0.9,0.9],"PerCallWorkMs":0,"Ranges":%d,"WarmKeys":false},
+                  "Instances":%d,"Kinds":["std"],"MyZone":0,"Orgs":[],"OverShareWorth":0.1,"PeriodMs":5,
+                  "PolicyLimits":{"Cancel":true,"ConnIdleMs":5000,"DialTimeoutMs":250,"MaxAttempts":4,"MaxRetryAfterMs":1000,"MostHeld":200,"Probing":true,"RetryAfter":true,"SecondCopies":false,"StreamsPerConn":32},
+                  "Rules":{"ColdFrom":%s,"ColdMs":%d,"DrainGraceMs":500,"FallMs":%d,"FallMultiple":%s,"GraceToAnswerMs":20},
+                  "SelfIndex":%d,"Telemetry":{"Columns":[],"Via":"none"},"Zones":["a"]}}
+                """,
+                index,
+                port,
+                discovery.port(),
+                random.nextLong(),
+                size.crowd() ? 256 : 1_024,
+                discovery.completeList(),
+                longestMs / 3,
+                longestMs,
+                shortestMs / 3,
+                shortestMs,
+                shortestMs / 3,
+                shortestMs + 300,
+                DEDUPLICATION_WINDOW_MS,
+                CELLS,
+                SHARDS,
+                size.brokers(),
+                SLOW_START_SHARE,
+                SLOW_START_MS,
+                OVERLOAD_WINDOW_MS,
+                OVERLOAD_FACTOR,
+                index);
+    }
+
+    private void startClients() {
+        for (SoakBroker broker : brokers) {
+            for (int i = 0; i < CLIENTS_PER_BROKER; i++) {
+                SoakClient client =
+                        new SoakClient(
+                                broker,
+                                ledger,
+                                new SoakClient.Traffic(classes, SHARDS, THINK_MS),
+                                random.split());
+                clients.add(client);
+                Thread thread = new Thread(client, "soak-client");
+                thread.setDaemon(true);
+                thread.start();
+                clientThreads.add(thread);
+            }
+        }
+    }
+
+    // ---- faults ----
+
+    private long elapsedMs() {
+        return (System.nanoTime() - startedAt) / 1_000_000;
+    }
+
+    private void after(long delayMs, Task task) {
+        schedule.computeIfAbsent(elapsedMs() + delayMs, at -> new ArrayList<>()).add(task);
+    }
+
+    private void injectFaults() throws Exception {
+        after(random.nextInt(300), this::systemCallEpisode);
+        after(random.nextInt(1_000), this::searcherEpisode);
+        after(1_000 + random.nextInt(1_000), this::plannedRestart);
+        after(3_000 + random.nextInt(6_000), this::unplannedRestart);
+        after(2_000 + random.nextInt(4_000), this::coldSearcher);
+        after(500 + random.nextInt(2_000), this::pause);
+        after(2_000 + random.nextInt(3_000), this::clockStep);
+        if (size.crowd()) {
+            after(500, this::fillConnections);
+        }
+        faultsEndAtMs = elapsedMs() + 1_000L * size.seconds();
+        while (elapsedMs() < faultsEndAtMs) {
+            runDue();
+            Thread.sleep(5);
+        }
+        while (!restartingByGroup.isEmpty()) {
+            runDue();
+            Thread.sleep(5);
+        }
+    }
+
+    private void runDue() throws Exception {
+        while (!schedule.isEmpty() && schedule.firstKey() <= elapsedMs()) {
+            for (Task task : schedule.pollFirstEntry().getValue()) {
+                task.run();
+            }
+        }
+    }
+
+    private SoakBroker anyBroker() {
+        return brokers.get(random.nextInt(brokers.size()));
+    }
+
+    private void systemCallEpisode() {
+        disturb(anyBroker());
+        after(100 + random.nextInt(4_000 / brokers.size() + 200), this::systemCallEpisode);
+    }
+
+    private void disturb(SoakBroker broker) {
+        SyscallFaults.Kind[] kinds = SyscallFaults.Kind.values();
+        for (int i = 1 + random.nextInt(3); i > 0; i--) {
+            SyscallFaults.Kind kind = kinds[random.nextInt(kinds.length)];
+            int most = kind == SyscallFaults.Kind.BREAK_CONNECTION ? 60 : 700;
+            int permille = 30 + random.nextInt(most);
+            broker.faults.setPermille(kind, permille);
+            broker.note("fault " + kind + " " + permille);
+            after(
+                    200 + random.nextInt(1_000),
+                    () -> {
+                        broker.faults.setPermille(kind, 0);
+                        broker.note("fault " + kind + " over");
+                    });
+        }
+    }
+
+    private void searcherEpisode() {
+        SoakSearcher searcher = searchers.get(random.nextInt(searchers.size()));
+        SoakSearcher.Mode[] modes = SoakSearcher.Mode.values();
+        searcher.setMode(modes[1 + random.nextInt(modes.length - 1)]);
+        after(200 + random.nextInt(1_500), () -> searcher.setMode(SoakSearcher.Mode.SERVING));
+        after(200 + random.nextInt(1_500), this::searcherEpisode);
+    }
+
+    private void coldSearcher() throws IOException {
+        SoakSearcher searcher = searchers.get(random.nextInt(searchers.size()));
+        searcher.stop();
+        after(
+                500,
+                () -> {
+                    searcher.restart();
+                    discovery.publish(searcher, "ready");
+                });
+        after(2_500 + random.nextInt(4_000), this::coldSearcher);
+    }
+
+    private void pause() throws Exception {
+        SoakBroker broker = anyBroker();
+        if (broker.isServing()) {
+            broker.signal("STOP");
+            after(20 + random.nextInt(MAX_PAUSE_MS - 60), () -> broker.signal("CONT"));
+        }
+        after(500 + random.nextInt(2_000), this::pause);
+    }
+
+    private void clockStep() {
+        SoakBroker broker = anyBroker();
+        long[] steps = {0, 2_000, -2_000, HOUR_MS, -HOUR_MS};
+        long offsetMs = steps[random.nextInt(steps.length)];
+        broker.faults.setWallOffsetMs(offsetMs);
+        broker.note("wall clock " + offsetMs);
+        after(1_000 + random.nextInt(3_000), this::clockStep);
+    }
+
+    private int groupOf(SoakBroker broker) {
+        int index = brokers.indexOf(broker);
+        return isGrouped(index) ? index / GROUP_SIZE : 1_000 + index;
+    }
+
+    private boolean mayRestart(SoakBroker broker) {
+        return elapsedMs() < faultsEndAtMs
+                && !restartingByGroup.containsKey(groupOf(broker))
+                && broker.isServing();
+    }
+
+    private void plannedRestart() throws Exception {
+        SoakBroker broker = anyBroker();
+        if (mayRestart(broker)) {
+            restartingByGroup.put(groupOf(broker), broker);
+            broker.terminate();
+            if (random.nextInt(3) > 0) {
+                disturb(broker);
+            }
+            signalAgain(broker, "HUP");
+            signalAgain(broker, "TERM");
+            long killMs = Math.min(longestMs, MAX_COUNTED_DEADLINE_MS) + KILL_DELAY_MS;
+            after(killMs, broker::kill);
+            after(killMs + RESTART_DELAY_MS, () -> restart(broker));
+            ledger.count("planned restarts");
+        }
+        after(300 + random.nextInt(6_000 / brokers.size() + 700), this::plannedRestart);
+    }
+
+    private void signalAgain(SoakBroker broker, String signal) {
+        if (random.nextInt(3) == 0) {
+            after(random.nextInt(1_500), () -> broker.signal(signal));
+        }
+    }
+
+    private void unplannedRestart() {
+        SoakBroker broker = anyBroker();
+        if (mayRestart(broker)) {
+            restartingByGroup.put(groupOf(broker), broker);
+            broker.kill();
+            after(RESTART_DELAY_MS, () -> restart(broker));
+            ledger.count("kills");
+        }
+        after(4_000 + random.nextInt(6_000), this::unplannedRestart);
+    }
+
+    private void restart(SoakBroker broker) throws Exception {
+        broker.awaitEnd();
+        ledger.count(broker.wasKilled() ? "ended by SIGKILL" : "ended by itself");
+        restartingByGroup.remove(groupOf(broker));
+        broker.start();
+    }
+
+    private void fillConnections() {
+        SoakBroker broker = anyBroker();
+        for (int i = 0; i < CROWD_CONNECTIONS && broker.isServing(); i++) {
+            try {
+                Socket socket = new Socket();
+                socket.connect(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), broker.port), 200);
+                crowd.add(socket);
+            } catch (IOException refused) {
+                break;
+            }
+        }
+        after(
+                1_500,
+                () -> {
+                    for (Socket socket : crowd) {
+                        socket.close();
+                    }
+                    crowd.clear();
+                });
+        after(2_500 + random.nextInt(2_000), this::fillConnections);
+    }
+
+    // ---- end ----
+
+    private void closeAll() throws Exception {
+        for (SoakBroker broker : brokers) {
+            broker.close();
+        }
+        for (SoakSearcher searcher : searchers) {
+            searcher.close();
+        }
+        if (discovery != null) {
+            discovery.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reeldeal/faultinjection/soak/StallMonitor.java
@@ -0,0 +1,42 @@
+package reeldeal.faultinjection.soak;
+
+import reeldeal.faultinjection.DaemonThreads;
+
+/**
+ * Notices when this JVM was not scheduled in time. What the soak measures then is its own delay,
+ * not that of a broker. Thread-safe.
+ */
+final class StallMonitor {
+    private static final int INTERVAL_MS = 2;
+    private static final long STALL_NANOS = 25_000_000;
+
+    private volatile long lastStallAt = Long.MIN_VALUE;
+    private volatile int stalls;
+
+    /** Starts a monitor, which runs until the JVM ends. */
+    StallMonitor() {
+        DaemonThreads.start(this::watch);
+    }
+
+    private void watch() throws InterruptedException {
+        long previous = System.nanoTime();
+        while (true) {
+            Thread.sleep(INTERVAL_MS);
+            long now = System.nanoTime();
+            if (now - previous > STALL_NANOS) {
+                lastStallAt = now;
+                stalls++;
+            }
+            previous = now;
+        }
+    }
+
+    /** Whether this JVM has stalled since a time of {@link System#nanoTime}. */
+    boolean stalledSince(long nanoTime) {
+        return lastStallAt != Long.MIN_VALUE && lastStallAt - nanoTime > 0;
+    }
+
+    int count() {
+        return stalls;
+    }
+}
