--- a/src/test/java/reeldeal/server/PackageLayersTest.java
+++ b/src/test/java/reeldeal/server/PackageLayersTest.java
@@ -33,6 +33,7 @@
      */
     private static final List<Set<String>> LAYERS =
             List.of(
+                    Set.of("sockets"),
                     Set.of("decision", "consensus", "dns", "frames", "http", "fleet"),
                     Set.of("core", "storage"),
                     Set.of("discovery", "endpoints", "platform", "searchers", "store"),
@@ -40,6 +41,7 @@
                     Set.of("takeover"),
                     Set.of("config"),
                     Set.of("faultinjection", "opensearch", "simulator"),
+                    Set.of("faultinjection.soak"),
                     Set.of("cli"),
                     Set.of("server"));
 
--- /dev/null
+++ b/src/test/java/reeldeal/server/SystemCallFaultTest.java
@@ -0,0 +1,92 @@
+package reeldeal.server;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import reeldeal.faultinjection.FakeSearcher;
+import reeldeal.faultinjection.TextCodec;
+import reeldeal.faultinjection.soak.SyscallFaults.Kind;
+
+/** Tests what clients of a broker see while its system calls fail for a moment. */
+public class SystemCallFaultTest {
+    private static final int ALWAYS = 1_000;
+    private static final int TIME_LEFT_MS = 500;
+    private static final String SERVED =
+            "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"v\"}]}";
+
+    private final List<FakeSearcher> searchers = new ArrayList<>();
+    private FaultyBroker broker;
+
+    @Before
+    public void start() throws Exception {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            searchers.add(new FakeSearcher(0, name -> {}));
+            ports.add(searchers.get(i).port());
+        }
+        broker = new FaultyBroker(2_000, ports);
+    }
+
+    @After
+    public void stop() throws Exception {
+        broker.close();
+        for (FakeSearcher searcher : searchers) {
+            searcher.close();
+        }
+    }
+
+    private String ask(Socket client, String name) throws Exception {
+        client.getOutputStream().write(FaultyBroker.request(name, TIME_LEFT_MS));
+        return TextCodec.readHttp(client.getInputStream());
+    }
+
+    @Test
+    public void aFailedAcceptDoesNotKeepClientsWaitingPastTheirTime() throws Exception {
+        broker.faults.setPermille(Kind.FAIL_ACCEPT, ALWAYS);
+        try (Socket client = broker.connect()) {
+            long sentAt = System.nanoTime();
+            client.getOutputStream().write(FaultyBroker.request("a", TIME_LEFT_MS));
+            Thread.sleep(50);
+            broker.faults.clear();
+            assertEquals(SERVED, TextCodec.readHttp(client.getInputStream()));
+            long elapsedMs = (System.nanoTime() - sentAt) / 1_000_000;
+            assertTrue(elapsedMs + " ms", elapsedMs <= TIME_LEFT_MS);
+        }
+        assertTrue(broker.faults.injected(Kind.FAIL_ACCEPT) > 0);
+    }
+
+    @Test
+    public void aFailedSocketCallDoesNotHoldAShardRequestUntilItsTimeout() throws Exception {
+        broker.faults.setPermille(Kind.FAIL_SOCKET, ALWAYS);
+        try (Socket client = broker.connect()) {
+            long sentAt = System.nanoTime();
+            client.getOutputStream().write(FaultyBroker.request("a", TIME_LEFT_MS));
+            Thread.sleep(20);
+            broker.faults.clear();
+            String response = TextCodec.readHttp(client.getInputStream());
+            long elapsedMs = (System.nanoTime() - sentAt) / 1_000_000;
+            assertTrue(elapsedMs + " ms: " + response, elapsedMs <= TIME_LEFT_MS / 2);
+            assertEquals(SERVED, ask(client, "b"));
+        }
+        assertTrue(broker.faults.injected(Kind.FAIL_SOCKET) > 0);
+        assertTrue(
+                broker.log.toString(), broker.log.stream().noneMatch(l -> l.contains("Exception")));
+    }
+
+    @Test
+    public void aReadInterruptedBySignalsIsNotTheEndOfAConnection() throws Exception {
+        broker.faults.setPermille(Kind.INTERRUPT_READ, ALWAYS / 2);
+        try (Socket client = broker.connect()) {
+            for (int i = 0; i < 40; i++) {
+                assertEquals(SERVED, ask(client, "r" + i));
+            }
+        }
+        assertTrue(broker.faults.injected(Kind.INTERRUPT_READ) > 0);
+    }
+}
