Try a failed accept again after 10 ms, and accept what waits before a listener closes

Callers saw answers a second late, deadlines told to searchers that had passed already, and requests that were never read. Cause: Netty's acceptor pauses for 1 s after any failed accept (ENFILE, ENOBUFS), and a listener that closed reset the connections which the system had established meanwhile. Change: a listening channel of our own, used by both fronts, by peers and by DNS, that pauses for 10 ms, logs the reason once a second, and empties the queue before it closes.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -7,12 +7,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import reeldeal.sockets.RetryingServerSocketChannel;
 
 /**
  * Accepts connections and passes each request to a handler, one request at a time per connection.
@@ -26,6 +26,9 @@
     private static final int BACKLOG = 512;
     private static final int SWEEP_INTERVAL_MS = 250;
 
+    /** How long a failing accept is tried again when the server stops listening. */
+    private static final int MAX_ACCEPT_RETRY_MS = 300;
+
     /** At most {@code maxConnections / IDLE_DIVISOR} connections may be idle. */
     private static final int IDLE_DIVISOR = 2;
 
@@ -74,7 +77,7 @@
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(group, group)
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(RetryingServerSocketChannel::new)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -113,9 +116,14 @@
         keepIdle = true;
     }
 
-    /** Stops accepting connections; open connections are still served. */
+    /**
+     * Stops accepting connections, after those that wait to be accepted; open connections are still
+     * served. Does nothing if the server does not listen.
+     */
     public void stopListening() {
-        listener.close();
+        if (listener instanceof RetryingServerSocketChannel listening) {
+            listening.closeAfterAccepting(MAX_ACCEPT_RETRY_MS);
+        }
     }
 
     /** Closes the connections without a request. Every later response closes its connection. */
--- a/src/main/java/reeldeal/store/PeerConnections.java
+++ b/src/main/java/reeldeal/store/PeerConnections.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -24,6 +23,7 @@
 import java.util.function.Consumer;
 import reeldeal.consensus.Message;
 import reeldeal.frames.FrameBuffer;
+import reeldeal.sockets.RetryingServerSocketChannel;
 
 /**
  * The connections of a node: one outgoing connection to each peer, on which the node sends, and the
@@ -90,7 +90,7 @@
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(eventLoopGroup, eventLoopGroup)
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(RetryingServerSocketChannel::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
--- a/src/main/java/reeldeal/zones/DnsServer.java
+++ b/src/main/java/reeldeal/zones/DnsServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,6 +24,7 @@
 import reeldeal.dns.Message;
 import reeldeal.dns.TransferOut;
 import reeldeal.frames.FrameBuffer;
+import reeldeal.sockets.RetryingServerSocketChannel;
 
 /** Serves the zone service over UDP and TCP (RFC 1035, section 4.2; RFC 7766). */
 public final class DnsServer {
@@ -65,7 +65,7 @@
         Channel tcpChannel =
                 new ServerBootstrap()
                         .group(group, group)
-                        .channel(NioServerSocketChannel.class)
+                        .channelFactory(RetryingServerSocketChannel::new)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .option(ChannelOption.SO_BACKLOG, 256)
                         .childOption(ChannelOption.TCP_NODELAY, true)
