Read again after EINTR instead of ending the connection

Callers saw their connection end with no answer (rule lost), and attempts at searchers were reset. Cause: the JDK returns -3 for a read that ends with EINTR, and Netty takes every negative count for the end of the stream. Change: the program's TCP channels return 0 for it, so that the event loop reads again. Evidence: with half of all reads interrupted, the first of 40 requests lost its connection before; all are served now.

--- a/src/main/java/reeldeal/http/HttpClient.java
+++ b/src/main/java/reeldeal/http/HttpClient.java
@@ -8,13 +8,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * An HTTP client for one server. It makes one call at a time, on a connection that it keeps open
@@ -115,7 +115,7 @@
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(group)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(SocketChannels::newOutgoing)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .handler(new Handler())
--- a/src/main/java/reeldeal/searchers/SearcherConnection.java
+++ b/src/main/java/reeldeal/searchers/SearcherConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -24,6 +23,7 @@
 import reeldeal.core.Event;
 import reeldeal.core.Searcher;
 import reeldeal.frames.FrameBuffer;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * Manages one connection to a searcher and the shard requests that are queued or in flight on it.
@@ -111,7 +111,7 @@
         ChannelFuture connecting =
                 new Bootstrap()
                         .group(group)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(SocketChannels::newOutgoing)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs())
                         .option(ChannelOption.TCP_NODELAY, true)
                         .handler(this)
--- a/src/main/java/reeldeal/sockets/InterruptibleSocketChannel.java
+++ b/src/main/java/reeldeal/sockets/InterruptibleSocketChannel.java
@@ -1,13 +1,21 @@
 package reeldeal.sockets;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.nio.channels.SocketChannel;
 
-/** An accepted TCP connection, with the time for which it may have waited. */
+/** A TCP channel on which a read that is interrupted by a signal is read again. */
 final class InterruptibleSocketChannel extends NioSocketChannel {
+    private static final int END_OF_STREAM = -1;
+
     private final double acceptDelayMs;
 
+    /** Creates the channel of an outgoing connection. */
+    InterruptibleSocketChannel() {
+        acceptDelayMs = 0;
+    }
+
     /** Creates the channel of a connection that may have waited this long to be accepted. */
     InterruptibleSocketChannel(Channel parent, SocketChannel socket, double acceptDelayMs) {
         super(parent, socket);
@@ -17,4 +25,11 @@
     double acceptDelayMs() {
         return acceptDelayMs;
     }
+
+    @Override
+    protected int doReadBytes(ByteBuf buffer) throws Exception {
+        int bytes = super.doReadBytes(buffer);
+        // The JDK returns -3 for EINTR, which Netty would take for the end of the stream.
+        return bytes < END_OF_STREAM ? 0 : bytes;
+    }
 }
--- a/src/main/java/reeldeal/sockets/package-info.java
+++ b/src/main/java/reeldeal/sockets/package-info.java
@@ -1,7 +1,7 @@
 /**
  * TCP channels that treat failing system calls as Linux documents them: a failed accept is tried
- * again soon.
+ * again soon, and an interrupted read is no end of a stream.
  *
- * <p>Imports no other package of the program.
+ * <p>Imports no other package of the program. Every TCP connection of the program is made here.
  */
 package reeldeal.sockets;
--- a/src/main/java/reeldeal/store/PeerConnections.java
+++ b/src/main/java/reeldeal/store/PeerConnections.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -24,6 +23,7 @@
 import reeldeal.consensus.Message;
 import reeldeal.frames.FrameBuffer;
 import reeldeal.sockets.RetryingServerSocketChannel;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * The connections of a node: one outgoing connection to each peer, on which the node sends, and the
@@ -208,7 +208,7 @@
             ChannelFuture connecting =
                     new Bootstrap()
                             .group(eventLoopGroup)
-                            .channel(NioSocketChannel.class)
+                            .channelFactory(SocketChannels::newOutgoing)
                             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                             .option(ChannelOption.TCP_NODELAY, true)
                             .handler(new OutgoingHandler(this))
--- a/src/main/java/reeldeal/zones/PeerLink.java
+++ b/src/main/java/reeldeal/zones/PeerLink.java
@@ -9,9 +9,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import reeldeal.frames.FrameBuffer;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * Exchanges DNS messages with another name server over a TCP connection, and reports its end to a
@@ -57,7 +57,7 @@
             ChannelFuture connecting =
                     new Bootstrap()
                             .group(group)
-                            .channel(NioSocketChannel.class)
+                            .channelFactory(SocketChannels::newOutgoing)
                             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                             .option(ChannelOption.TCP_NODELAY, true)
                             .handler(link)
