Fail a connection whose socket cannot be opened on its event loop, and at once

Callers waited until their time was over: 503 after 529 ms of 500. Cause: if socket() fails, Bootstrap returns a FailedChannel that completes on GlobalEventExecutor, another thread, and whose close throws, so that SearcherConnection never ended its attempts; a peer's connection was never tried again. Change: a channel without a socket that is registered on the event loop, fails to connect with the system's reason and closes. Used by searchers' connections, the HTTP client, peers and DNS links.

--- a/src/main/java/reeldeal/sockets/SocketChannels.java
+++ b/src/main/java/reeldeal/sockets/SocketChannels.java
@@ -1,14 +1,23 @@
 package reeldeal.sockets;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 
 /** Makes the channels of outgoing TCP connections. Stateless; any thread may call it. */
 public final class SocketChannels {
     private SocketChannels() {}
 
-    /** Returns a channel that is not connected. */
+    /**
+     * Returns a channel that is not connected. If the system has no socket for it, the channel
+     * fails to connect, on its event loop and with the system's reason; Netty's own substitute has
+     * no event loop, so that it reports on another thread and cannot be closed.
+     */
     public static Channel newOutgoing() {
-        return new InterruptibleSocketChannel();
+        try {
+            return new InterruptibleSocketChannel();
+        } catch (ChannelException e) {
+            return new UnopenedChannel(e);
+        }
     }
 
     /**
