--- a/src/test/java/reeldeal/server/FaultyBroker.java
+++ b/src/test/java/reeldeal/server/FaultyBroker.java
@@ -116,12 +116,26 @@
         return client;
     }
 
-    /** Returns a request of shard 0. */
+    /** Returns a request of shard 0 that may be repeated. */
     static byte[] request(String name, int timeLeftMs) {
+        return request("notice-search", name, "", timeLeftMs);
+    }
+
+    /** Returns a request of shard 0 with an idempotency key. */
+    static byte[] keyedRequest(String name, int timeLeftMs) {
+        return request("bid-mark", name, "Idempotency-Key: " + name + "\r\n", timeLeftMs);
+    }
+
+    private static byte[] request(String queryClass, String name, String headers, int timeLeftMs) {
         return TextCodec.request(
                 "POST",
-                "/notice-search",
-                "X-Correlation-Id: " + name + "\r\nX-Time-Left-Ms: " + timeLeftMs + "\r\n",
+                "/" + queryClass,
+                "X-Correlation-Id: "
+                        + name
+                        + "\r\nX-Time-Left-Ms: "
+                        + timeLeftMs
+                        + "\r\n"
+                        + headers,
                 "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"x\"}");
     }
 
--- a/src/test/java/reeldeal/server/SystemCallFaultTest.java
+++ b/src/test/java/reeldeal/server/SystemCallFaultTest.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +18,7 @@
 public class SystemCallFaultTest {
     private static final int ALWAYS = 1_000;
     private static final int TIME_LEFT_MS = 500;
+    private static final int DEADLINE_SLACK_MS = 150;
     private static final String SERVED =
             "200 {\"complete\":true,\"hits\":[{\"shard\":0,\"doc\":\"v\"}]}";
 
@@ -89,4 +91,51 @@
         }
         assertTrue(broker.faults.injected(Kind.INTERRUPT_READ) > 0);
     }
+
+    /** Accepts one connection of the broker and returns the deadline of its first call, ms. */
+    private static long toldDeadline(ServerSocket searcher) throws Exception {
+        searcher.setSoTimeout(20_000);
+        try (Socket connection = searcher.accept()) {
+            String call = TextCodec.frame(connection.getInputStream());
+            return Long.parseLong(call.replaceFirst("(?s).* d=([0-9]+).*", "$1"));
+        }
+    }
+
+    @Test
+    public void theDeadlineToldAfterADelayedAcceptIsNotLaterThanTheClients() throws Exception {
+        try (ServerSocket searcher = new ServerSocket(0);
+                FaultyBroker delayed = new FaultyBroker(2_000, List.of(searcher.getLocalPort()))) {
+            delayed.faults.setPermille(Kind.FAIL_ACCEPT, ALWAYS);
+            try (Socket client = delayed.connect()) {
+                long sentAt = System.nanoTime();
+                client.getOutputStream().write(FaultyBroker.keyedRequest("a", 1_500));
+                Thread.sleep(600);
+                delayed.faults.clear();
+                long toldMs = toldDeadline(searcher);
+                long leftMs = 1_500 - (System.nanoTime() - sentAt) / 1_000_000;
+                assertTrue(toldMs + " of " + leftMs, toldMs <= leftMs + DEADLINE_SLACK_MS);
+            }
+        }
+    }
+
+    @Test
+    public void theDeadlineToldForARequestSentAheadIsNotLaterThanTheClients() throws Exception {
+        try (ServerSocket searcher = new ServerSocket(0);
+                FaultyBroker other = new FaultyBroker(2_000, List.of(searcher.getLocalPort()));
+                Socket client = other.connect()) {
+            long sentAt = System.nanoTime();
+            client.getOutputStream().write(FaultyBroker.keyedRequest("a", 600));
+            client.getOutputStream().write(FaultyBroker.keyedRequest("b", 1_500));
+            toldDeadline(searcher);
+            String call;
+            do {
+                try (Socket connection = searcher.accept()) {
+                    call = TextCodec.frame(connection.getInputStream());
+                }
+            } while (!call.contains("b.0"));
+            long toldMs = Long.parseLong(call.replaceFirst("(?s).* d=([0-9]+).*", "$1"));
+            long leftMs = 1_500 - (System.nanoTime() - sentAt) / 1_000_000;
+            assertTrue(toldMs + " of " + leftMs, toldMs <= leftMs + DEADLINE_SLACK_MS);
+        }
+    }
 }
