Count a request's time from its arrival, not from its handling

Cause: the fronts counted X-Time-Left-Ms from the moment of handling, also for a request that waited behind others on its connection or for its connection to be accepted. Change: a connection remembers when each byte arrived and how long accept may have failed before, and tells the front how long the request has waited.

--- a/src/main/java/reeldeal/http/Exchange.java
+++ b/src/main/java/reeldeal/http/Exchange.java
@@ -14,6 +14,15 @@
      */
     void respond(int status, Map<String, String> headers, byte[] body);
 
+    /**
+     * Returns how long the request may have waited between its arrival and its handling, in
+     * milliseconds: behind earlier requests of its connection, or for the connection to be
+     * accepted.
+     */
+    default double waitedMs() {
+        return 0;
+    }
+
     /** Sets an action to run if the client disconnects before the response is written. */
     void onDisconnect(Runnable action);
 }
--- a/src/main/java/reeldeal/http/HttpParser.java
+++ b/src/main/java/reeldeal/http/HttpParser.java
@@ -92,6 +92,11 @@
         return buffer.length + (chunkedBody == null ? 0 : chunkedBody.size());
     }
 
+    /** Returns how many of the bytes that were fed are not parsed yet. */
+    int unparsedBytes() {
+        return end - start;
+    }
+
     /** Whether bytes of an incomplete message are buffered. */
     public boolean inMessage() {
         return end > start || stage != Stage.HEAD;
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import reeldeal.sockets.RetryingServerSocketChannel;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * Accepts connections and passes each request to a handler, one request at a time per connection.
@@ -88,7 +89,7 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline().addLast(newConnection());
+                                        channel.pipeline().addLast(newConnection(channel));
                                     }
                                 });
         ChannelFuture bound = bootstrap.bind(address);
@@ -99,8 +100,9 @@
         return bound;
     }
 
-    private ServerConnection newConnection() {
-        return new ServerConnection(memory, handler, clock, connectionTracker);
+    private ServerConnection newConnection(Channel channel) {
+        return new ServerConnection(
+                memory, handler, clock, SocketChannels.acceptDelayMs(channel), connectionTracker);
     }
 
     /** Returns the address that the server listens on. */
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -68,6 +68,8 @@
     private final LongSupplier clock;
     private final Listener listener;
     private HttpParser parser = new HttpParser(false);
+    private final double acceptDelayMs;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
     private ChannelHandlerContext context;
     private PendingExchange currentExchange;
     private boolean hadRequest;
@@ -78,8 +80,14 @@
     private int discardedBytes;
     private int consecutiveBadRequests;
 
+    /** Creates a connection that may have waited {@code acceptDelayMs} to be accepted. */
     ServerConnection(
-            MemoryBudget memory, RequestHandler handler, LongSupplier clock, Listener listener) {
+            MemoryBudget memory,
+            RequestHandler handler,
+            LongSupplier clock,
+            double acceptDelayMs,
+            Listener listener) {
+        this.acceptDelayMs = acceptDelayMs;
         this.memory = memory;
         this.handler = handler;
         this.clock = clock;
@@ -205,6 +213,7 @@
             requestStartedAt = clock.getAsLong();
         }
         parser.feed(bytes, 0, bytes.length);
+        arrivals.add(bytes.length, clock.getAsLong());
         memory.adjust(parser.bufferedBytes() - bufferedBefore);
         if (!memory.isExceeded() || parser.bufferedBytes() <= bufferedBefore) {
             processNextRequest();
@@ -291,7 +300,9 @@
     }
 
     private void dispatch(HttpMessage request) {
-        currentExchange = new PendingExchange(request.keepsAlive());
+        long arrivedAt = arrivals.takeParsed(parser.unparsedBytes());
+        double waitedMs = clock.getAsLong() - arrivedAt + (hadRequest ? 0 : acceptDelayMs);
+        currentExchange = new PendingExchange(request.keepsAlive(), waitedMs);
         hadRequest = true;
         try {
             handler.handle(request, currentExchange);
@@ -313,7 +324,7 @@
 
     /** Responds to input that is not passed to the handler, and ends the connection. */
     private void reject(int status, byte[] reason) {
-        currentExchange = new PendingExchange(false);
+        currentExchange = new PendingExchange(false, 0);
         currentExchange.respond(status, PLAIN_TEXT, reason);
     }
 
@@ -382,10 +393,17 @@
     /** The request that waits for its response. */
     private final class PendingExchange implements Exchange {
         private final boolean keepAlive;
+        private final double waitedMs;
         private Runnable onDisconnect;
 
-        PendingExchange(boolean keepAlive) {
+        PendingExchange(boolean keepAlive, double waitedMs) {
             this.keepAlive = keepAlive;
+            this.waitedMs = waitedMs;
+        }
+
+        @Override
+        public double waitedMs() {
+            return waitedMs;
         }
 
         @Override
--- a/src/main/java/reeldeal/opensearch/OpenSearchFront.java
+++ b/src/main/java/reeldeal/opensearch/OpenSearchFront.java
@@ -81,7 +81,7 @@
 
     private void search(HttpMessage message, String index, Exchange exchange)
             throws UnsupportedRequestException {
-        double now = submitter.now();
+        double now = submitter.now() - exchange.waitedMs();
         Search search = parser.single(message, index, now);
         List<Runnable> onDisconnect = new ArrayList<>();
         exchange.onDisconnect(() -> onDisconnect.forEach(Runnable::run));
@@ -94,7 +94,7 @@
      */
     private void multipleSearch(HttpMessage message, String defaultIndex, Exchange exchange)
             throws UnsupportedRequestException {
-        double now = submitter.now();
+        double now = submitter.now() - exchange.waitedMs();
         parser.checkMultipleParameters(message);
         List<byte[]> lines = SearchParser.lines(message.body());
         PendingResults pending = new PendingResults(lines.size() / 2, exchange, now);
--- a/src/main/java/reeldeal/platform/PlatformFront.java
+++ b/src/main/java/reeldeal/platform/PlatformFront.java
@@ -69,7 +69,7 @@
     }
 
     private void submitQuery(HttpMessage message, int queryClass, Exchange exchange) {
-        double now = submitter.now();
+        double receivedAt = submitter.now() - exchange.waitedMs();
         String correlationId = message.header("x-correlation-id");
         String timeLeft = message.header("x-time-left-ms");
         String idempotencyKey = message.header("idempotency-key");
@@ -99,7 +99,7 @@
                             correlationId,
                             queryClass,
                             needsKey ? idempotencyKey : null,
-                            now + deadlineDelayMs(queryClass, timeLeft),
+                            receivedAt + deadlineDelayMs(queryClass, timeLeft),
                             "1".equals(message.header("x-repeat")),
                             body.text(),
                             body.shardRequests()),
