Answer every request that was read before its connection ends

Cause: an idle connection was shut for output first and then read and discarded, so that a request which crossed its end was read and dropped; so were requests behind the last response of a closing server. A close or an eviction with an unwritten response dropped it, and 256 KiB of discarded bytes ended an open request. Change: an idle connection is closed unread after one more look for bytes, requests sent ahead are answered first, unwritten responses keep their connection.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -132,7 +132,7 @@
     public void stopServing() {
         closing = true;
         for (ServerConnection connection : Set.copyOf(connections)) {
-            connection.endIfIdle();
+            connection.closeIfUnused();
         }
     }
 
@@ -213,7 +213,7 @@
             }
         }
         if (!keepIdle && idleCount > Math.max(1, maxConnections / IDLE_DIVISOR)) {
-            longestIdle.endGracefully();
+            longestIdle.closeIfUnused();
         }
     }
 
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -31,6 +31,15 @@
     /** Time that a client has to read the last response and close the connection. */
     private static final int LINGER_MS = 500;
 
+    /** Delay of a close, in which the event loop reads what has arrived. */
+    private static final int CLOSE_DELAY_MS = 1;
+
+    /** Time that a client has to read the last response of a server that is closing. */
+    private static final int UNREAD_LINGER_MS = 200;
+
+    /** Size of a response body that a client's system holds even if the client does not read. */
+    private static final int MAX_BUFFERED_BY_CLIENT_BYTES = 32 * 1024;
+
     /** Age from which a connection without a request may be evicted for a new connection. */
     private static final int MIN_EVICTION_AGE_MS = 250;
 
@@ -75,6 +84,8 @@
     private boolean hadRequest;
     private boolean ending; // no further request will be read
     private boolean delayedAfterBadRequests;
+    private boolean closeScheduled;
+    private int unwrittenResponses; // handed to the channel, but not yet to the system
     private long inactiveSince;
     private long requestStartedAt;
     private int discardedBytes;
@@ -125,6 +136,8 @@
     /** Whether this connection may be closed to make room for a new one. */
     boolean isEvictable(long now) {
         return currentExchange == null
+                && unwrittenResponses == 0
+                && !(delayedAfterBadRequests && parser.inMessage())
                 && (ending || hadRequest || now - inactiveSince >= MIN_EVICTION_AGE_MS);
     }
 
@@ -149,15 +162,34 @@
         context.close();
     }
 
-    /** Ends the connection if no request has begun on it. */
-    void endIfIdle() {
-        if (currentExchange == null && !ending && !parser.inMessage()) {
-            endGracefully();
+    /**
+     * Closes the connection if no request has begun on it, once the event loop has read what has
+     * arrived. Bytes that cross the close stay unread: a request that was read must be answered,
+     * and one that was not read may be sent again on another connection.
+     */
+    void closeIfUnused() {
+        if (!closeScheduled) {
+            closeScheduled = true;
+            context.executor()
+                    .schedule(this::closeIfStillUnused, CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    void endGracefully() {
-        endAfter(context.newSucceededFuture());
+    private void closeIfStillUnused() {
+        closeScheduled = false;
+        if (isUnused()) {
+            ending = true;
+            context.close();
+        }
+    }
+
+    /** Whether no request has begun, and no response is still being written. */
+    private boolean isUnused() {
+        return currentExchange == null
+                && !ending
+                && !delayedAfterBadRequests
+                && unwrittenResponses == 0
+                && !parser.inMessage();
     }
 
     /** Ends the connection or rejects its incomplete request if the time limit has passed. */
@@ -176,7 +208,7 @@
                 && !(hadRequest && keepIdle)
                 && now - inactiveSince
                         >= (hadRequest ? IDLE_TIMEOUT_MS : FIRST_REQUEST_TIMEOUT_MS)) {
-            endGracefully();
+            closeIfUnused();
         }
     }
 
@@ -232,7 +264,7 @@
     private void discard(ByteBuf in) {
         discardedBytes += in.readableBytes();
         in.release();
-        if (discardedBytes > MAX_DISCARDED_BYTES) {
+        if (discardedBytes > MAX_DISCARDED_BYTES && currentExchange == null) {
             context.close();
         }
     }
@@ -374,22 +406,36 @@
 
     /**
      * Ends the connection after a write: first shuts down its output, then closes it when the
-     * client has closed its side or {@link #LINGER_MS} have passed. Until then input is read and
-     * discarded, because closing a connection with unread bytes resets it and loses the last
-     * response. A discarded request was never processed, so that its client may send it elsewhere.
+     * client has closed its side or a time limit has passed. Until then input is discarded, because
+     * closing a connection with unread bytes resets it and loses what is unsent of the response.
+     * After a small response of a closing server input is left unread instead: a request that
+     * crosses the response was then never taken.
      */
-    private void endAfter(ChannelFuture written) {
+    private void endAfter(ChannelFuture written, boolean discardsInput) {
         ending = true;
         inactiveSince = clock.getAsLong();
-        setAutoRead(true);
+        setAutoRead(discardsInput);
+        int lingerMs = discardsInput ? LINGER_MS : UNREAD_LINGER_MS;
         written.addListener(
                 future -> {
                     ((SocketChannel) context.channel()).shutdownOutput();
                     context.executor()
-                            .schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+                            .schedule(() -> context.close(), lingerMs, TimeUnit.MILLISECONDS);
                 });
     }
 
+    private ChannelFuture write(ByteBuf response) {
+        unwrittenResponses++;
+        return context.writeAndFlush(response)
+                .addListener(
+                        future -> {
+                            unwrittenResponses--;
+                            if (listener.isServerClosing()) {
+                                closeIfUnused();
+                            }
+                        });
+    }
+
     /** The request that waits for its response. */
     private final class PendingExchange implements Exchange {
         private final boolean keepAlive;
@@ -412,11 +458,13 @@
                 return;
             }
             currentExchange = null;
-            boolean close = !keepAlive || listener.isServerClosing() || ending;
-            ChannelFuture written =
-                    context.writeAndFlush(HttpWriter.response(status, headers, body, close));
+            // Requests that were read are answered before the connection ends.
+            boolean lastOfClosingServer = listener.isServerClosing() && !parser.inMessage();
+            boolean close = !keepAlive || lastOfClosingServer || ending;
+            ChannelFuture written = write(HttpWriter.response(status, headers, body, close));
             if (close) {
-                endAfter(written);
+                boolean isSmall = body.length <= MAX_BUFFERED_BY_CLIENT_BYTES;
+                endAfter(written, !(lastOfClosingServer && keepAlive && isSmall));
             } else {
                 afterResponse(status);
             }
