--- /dev/null
+++ b/src/test/java/reeldeal/server/FleetMemberFaultTest.java
@@ -0,0 +1,148 @@
+package reeldeal.server;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+import reeldeal.faultinjection.TextCodec;
+
+/** Tests what the clients of a fleet's member see while it shuts down or its disk is slow. */
+public class FleetMemberFaultTest {
+    private static final int DEADLINE_MS = 2_000;
+
+    /** The earliest kill after SIGTERM, and the requests that must be answered by then, ms. */
+    private static final int KILL_MS = DEADLINE_MS + 700;
+
+    private static final int COUNTED_FROM_MS = 700;
+    private static final int AFTER_CLOSE_MS = 100;
+    private static final int SETTLE_MS = 3_000;
+
+    private final List<SilentSearcher> searchers = new ArrayList<>();
+    private Path folder;
+
+    @Before
+    public void start() throws Exception {
+        folder = Files.createTempDirectory("member");
+        for (int i = 0; i < 3; i++) {
+            searchers.add(new SilentSearcher());
+        }
+    }
+
+    @After
+    public void stop() throws Exception {
+        for (SilentSearcher searcher : searchers) {
+            searcher.close();
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private FaultyBroker member(String options) throws Exception {
+        int storePort;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            storePort = free.getLocalPort();
+        }
+        Path store = folder.resolve("store.json");
+        Files.writeString(
+                store,
+                "{\"node\":\"n0\",\"nodes\":{\"n0\":\"127.0.0.1:"
+                        + storePort
+                        + "\"},\"folder\":\""
+                        + folder.resolve("state")
+                        + "\",\"fleet\":{\"zone\":\"a\"},\"handover\":{\"keyed\":\"preferred\"}}");
+        FaultyBroker broker =
+                new FaultyBroker(
+                        DEADLINE_MS,
+                        searchers.stream().map(SilentSearcher::port).toList(),
+                        Map.of("REELDEAL_STORE", store.toString(), "JDK_JAVA_OPTIONS", options));
+        Thread.sleep(SETTLE_MS); // registration and the fleet's clock
+        return broker;
+    }
+
+    /**
+     * Asks on one connection until it ends, each time as soon as the answer is there, and returns
+     * the requests that had no answer at the kill.
+     */
+    private static List<String> askUntilKill(FaultyBroker broker, boolean keyed) throws Exception {
+        List<String> unanswered = new ArrayList<>();
+        try (Socket client = broker.connect()) {
+            broker.terminate();
+            long signalledAt = System.nanoTime();
+            long killAt = signalledAt + KILL_MS * 1_000_000L;
+            for (int i = 0; System.nanoTime() < killAt; i++) {
+                long sentMs = (System.nanoTime() - signalledAt) / 1_000_000;
+                byte[] request =
+                        keyed
+                                ? FaultyBroker.keyedRequest("k" + i, DEADLINE_MS)
+                                : FaultyBroker.request("r" + i, 300);
+                client.setSoTimeout((int) Math.max(1, (killAt - System.nanoTime()) / 1_000_000));
+                try {
+                    client.getOutputStream().write(request);
+                    if (TextCodec.readHttp(client.getInputStream()).equals("EOF")) {
+                        break;
+                    }
+                } catch (java.net.SocketTimeoutException e) {
+                    if (sentMs > COUNTED_FROM_MS) {
+                        unanswered.add(i + " sent " + sentMs + " ms after SIGTERM");
+                    }
+                    break;
+                } catch (IOException closed) {
+                    break;
+                }
+            }
+        }
+        return unanswered;
+    }
+
+    @Test
+    public void aMemberWithoutAPermitAnswersLateRequestsBeforeTheKill() throws Exception {
+        try (FaultyBroker broker = member("-Dnone=0")) {
+            assertEquals(List.of(), askUntilKill(broker, false));
+            assertTrue("still runs at the kill", broker.awaitExit(0));
+        }
+    }
+
+    @Test
+    public void aRecordedRequestIsAnsweredBeforeTheKillThoughTheDiskIsSlow() throws Exception {
+        try (FaultyBroker broker = member("-Dreeldeal.drill.disk_ms=150")) {
+            assertEquals(List.of(), askUntilKill(broker, true));
+        }
+    }
+
+    @Test
+    public void noAttemptOfARecordedRequestBeginsAfterItsClientLeft() throws Exception {
+        try (FaultyBroker broker = member("-Dnone=0")) {
+            searchers.forEach(searcher -> searcher.resetAfterMs = 250);
+            for (int i = 0; i < 3; i++) {
+                Socket client = broker.connect();
+                client.getOutputStream().write(FaultyBroker.keyedRequest("k" + i, DEADLINE_MS));
+                Thread.sleep(60);
+                client.close();
+                long closedAt = System.nanoTime();
+                Thread.sleep(DEADLINE_MS);
+                for (SilentSearcher searcher : searchers) {
+                    for (SilentSearcher.Call call : searcher.calls) {
+                        long afterMs = (call.atNanos() - closedAt) / 1_000_000;
+                        assertTrue(afterMs + " ms: " + call.text(), afterMs <= AFTER_CLOSE_MS);
+                    }
+                }
+            }
+        }
+    }
+}
