Count a member's shutdown from the signal, not from the end of its wait for a permit

Cause: the hook waited for the exit permit, up to 12 s, before it started the clock of the shutdown, so that neither the shorter deadlines nor the end of serving came before the kill; a failing disk or store makes the wait longer. Change: the signal starts the clock (GracefulShutdown); the wait for a permit ends when open connections must be given up, and the end is then written as unplanned. The test now waits up to the kill for the process to end, as its message says.

--- a/src/main/java/reeldeal/core/RequestSubmitter.java
+++ b/src/main/java/reeldeal/core/RequestSubmitter.java
@@ -33,6 +33,14 @@
         return false;
     }
 
+    /**
+     * Returns a request with the deadline that applies to it now, which is earlier than its
+     * client's late in a shutdown.
+     */
+    default Request limitDeadline(Request request) {
+        return request;
+    }
+
     /** Reports that the client of a request has disconnected; the request gets no reply. */
     void clientDisconnected(long requestId);
 
--- a/src/main/java/reeldeal/fleet/membership/LocalMember.java
+++ b/src/main/java/reeldeal/fleet/membership/LocalMember.java
@@ -129,6 +129,7 @@
 
     // The exit of this process.
     private boolean terminating;
+    private long permitWaitMs;
     private long permitDeadline = Long.MAX_VALUE;
     private boolean unplannedExit;
     private boolean exitOrdered;
@@ -192,11 +193,14 @@
         tick(now);
     }
 
-    /** Handles SIGTERM: the process requests a permit, and exits without one after the timeout. */
-    public void terminate(long now) {
+    /**
+     * Handles SIGTERM: requests a permit, and exits without one after at most {@code maxWaitMs}.
+     */
+    public void terminate(long now, long maxWaitMs) {
         if (!terminating) {
             terminating = true;
-            permitDeadline = now + timing.exitWaitMs();
+            permitWaitMs = Math.max(0, Math.min(maxWaitMs, timing.exitWaitMs()));
+            permitDeadline = now + permitWaitMs;
         }
         tick(now);
     }
@@ -354,7 +358,7 @@
                 "terminated, unplanned: "
                         + (storeUnreachable
                                 ? "the store is unreachable"
-                                : "no exit permit within " + timing.exitWaitMs() + " ms"));
+                                : "no exit permit within " + permitWaitMs + " ms"));
     }
 
     private void propose(ConditionalWrite write) {
@@ -422,8 +426,7 @@
             }
         }
         if (shouldDrain && self.state() != State.DRAINING) {
-            String reason =
-                    unplannedExit ? "unplanned: no permit in " + timing.exitWaitMs() + " ms" : "";
+            String reason = unplannedExit ? "unplanned: no permit in " + permitWaitMs + " ms" : "";
             propose(fleet.stateWrite(self, State.DRAINING, reason));
         } else if (shouldServe && self.state() != State.SERVING) {
             if (isDraining) {
@@ -444,11 +447,7 @@
     private void requestPermit(long now) {
         if (now >= permitDeadline) {
             unplannedExit = true;
-            actions.add(
-                    new Log(
-                            "no permit to end in "
-                                    + timing.exitWaitMs()
-                                    + " ms; ending unplanned"));
+            actions.add(new Log("no permit to end in " + permitWaitMs + " ms; ending unplanned"));
             return;
         }
         DisruptionBudget.Observations observations =
--- a/src/main/java/reeldeal/fleet/node/FleetNode.java
+++ b/src/main/java/reeldeal/fleet/node/FleetNode.java
@@ -37,6 +37,10 @@
 public final class FleetNode {
     private static final char TOPIC = 'F';
     private static final int TICK_MS = 100;
+
+    /** The time in which a process without a permit writes that its end is unplanned. */
+    private static final int UNPLANNED_EXIT_MS = 300;
+
     private static final int DEREGISTRATION_TIMEOUT_MS = 1_500;
 
     /** The number of retry delays that {@link #terminate} waits beyond the time for a permit. */
@@ -404,17 +408,17 @@
     }
 
     /**
-     * Handles SIGTERM: blocks until the process may end, at most for a configured time. Must not be
-     * called on the state loop.
+     * Handles SIGTERM: blocks until the process may end, at most for the configured time and for
+     * {@code maxWaitMs}. Must not be called on the state loop.
      */
-    public void terminate() throws InterruptedException {
+    public void terminate(long maxWaitMs) throws InterruptedException {
         loop.execute(
                 () -> {
-                    self.terminate(FleetClock.nowMs());
+                    self.terminate(FleetClock.nowMs(), maxWaitMs - UNPLANNED_EXIT_MS);
                     executeMemberActions();
                 });
         // Times out if the node has not been started: without ticks no exit is ordered.
-        exitOrdered.await(exitTimeoutMs, TimeUnit.MILLISECONDS);
+        exitOrdered.await(Math.min(maxWaitMs, exitTimeoutMs), TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -49,7 +49,7 @@
     private final BrokerConfig config;
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final ShutdownDeadlines shutdown;
+    private final GracefulShutdown shutdown;
     private final MonotonicClock clock = new MonotonicClock();
     private final Reducer reducer;
     private final SearcherTransport searchers;
@@ -68,7 +68,6 @@
     private RequestSubmitter submitter = this;
     private volatile Map<String, Event.ImportedServerStats> sharedStats = Map.of();
     private volatile Set<String> ejected = Set.of();
-    private volatile double drainStartedAt = Double.POSITIVE_INFINITY;
 
     /**
      * Creates a broker that takes its endpoint list from discovery, or has no discovery if the
@@ -90,12 +89,12 @@
         this.group = group;
         this.loop = group.next();
         this.config = config;
-        this.shutdown =
-                ShutdownDeadlines.of(
-                        config.settings().classes().stream()
-                                .mapToDouble(queryClass -> queryClass.deadlineMs())
-                                .max()
-                                .orElseThrow());
+        double longestDeadlineMs =
+                config.settings().classes().stream()
+                        .mapToDouble(queryClass -> queryClass.deadlineMs())
+                        .max()
+                        .orElseThrow();
+        this.shutdown = new GracefulShutdown(ShutdownDeadlines.of(longestDeadlineMs), clock::now);
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
         SearcherTransport frameTransport =
                 new ConnectionPool(
@@ -243,27 +242,23 @@
     }
 
     /**
-     * Shuts down gracefully. New connections are accepted for a while, since clients notice the
-     * shutdown late. Open connections are served for longer, since another broker may be down at
-     * the same time. Requests that arrive late get a shorter deadline than their client allows, so
-     * that every request is answered before the platform may kill the broker. Returns once no
-     * request, event or connection is left, or the last shutdown deadline is over.
+     * Notes that the platform has told the process to end. The time limits of {@link #drain} count
+     * from this call; until then the broker serves as before.
+     *
+     * @return the most milliseconds that may pass until {@code drain} must be called
+     */
+    long beginShutdown() {
+        shutdown.begin();
+        return shutdown.maxDelayMs();
+    }
+
+    /**
+     * Shuts down gracefully. Requests that arrive late get a shorter deadline than their client
+     * allows, so that every request is answered before the platform may kill the broker. Returns
+     * once no request, event or connection is left, or the last shutdown deadline is over.
      */
     public void drain() throws InterruptedException {
-        double startedAt = clock.now();
-        drainStartedAt = startedAt;
-        loop.submit(() -> servers.forEach(HttpServer::keepIdleConnections)).sync();
-        Thread.sleep((long) shutdown.acceptMs());
-        loop.submit(() -> servers.forEach(HttpServer::stopListening)).sync();
-        while (clock.now() < startedAt + shutdown.serveMs()
-                && !loop.submit(this::isIdle).sync().getNow()) {
-            Thread.sleep(10);
-        }
-        loop.submit(() -> servers.forEach(HttpServer::stopServing)).sync();
-        while (clock.now() < startedAt + shutdown.endMs()
-                && !loop.submit(this::isIdle).sync().getNow()) {
-            Thread.sleep(10);
-        }
+        shutdown.drain(loop, servers, this::isIdle);
         loop.submit(
                         () -> {
                             if (watcher != null) {
@@ -396,12 +391,12 @@
                                                 .latencyObjectiveMs(),
                                 reply,
                                 clock::now));
-        boolean late = clock.now() > drainStartedAt + shutdown.lateFromMs();
-        enqueue(
-                new Event.Arrived(
-                        late
-                                ? request.withDeadline(drainStartedAt + shutdown.answerByMs())
-                                : request));
+        enqueue(new Event.Arrived(limitDeadline(request)));
+    }
+
+    @Override
+    public Request limitDeadline(Request request) {
+        return shutdown.limitDeadline(request);
     }
 
     @Override
@@ -418,7 +413,7 @@
 
     @Override
     public boolean ready() {
-        return ready && !drainedByFleet && drainStartedAt == Double.POSITIVE_INFINITY;
+        return ready && !drainedByFleet && !shutdown.isDraining();
     }
 
     // ---- ticks ----
--- a/src/main/java/reeldeal/server/Main.java
+++ b/src/main/java/reeldeal/server/Main.java
@@ -154,8 +154,9 @@
     private static void shutDown(
             BrokerServer broker, FleetNode node, ServerStatsSharing statsSharing) {
         try {
+            long maxDelayMs = broker.beginShutdown();
             if (node != null) {
-                node.terminate();
+                node.terminate(maxDelayMs);
             }
             broker.drain();
             if (statsSharing != null) {
--- a/src/test/java/reeldeal/fleet/SimulatedFaults.java
+++ b/src/test/java/reeldeal/fleet/SimulatedFaults.java
@@ -73,7 +73,7 @@
     private void terminateOrChangePolicy(SimulatedProcess process) {
         if (process != null && fleet.rng.nextInt(3) == 0) {
             fleet.addToTrace("terminate " + process.boot);
-            process.run(() -> process.member.terminate(process.clock()));
+            process.run(() -> process.member.terminate(process.clock(), Long.MAX_VALUE));
         } else {
             FormAttributes policy =
                     new FormAttributes()
--- a/src/test/java/reeldeal/server/FleetMemberFaultTest.java
+++ b/src/test/java/reeldeal/server/FleetMemberFaultTest.java
@@ -32,6 +32,7 @@
 
     private final List<SilentSearcher> searchers = new ArrayList<>();
     private Path folder;
+    private long killAt; // nanoTime
 
     @Before
     public void start() throws Exception {
@@ -79,12 +80,12 @@
      * Asks on one connection until it ends, each time as soon as the answer is there, and returns
      * the requests that had no answer at the kill.
      */
-    private static List<String> askUntilKill(FaultyBroker broker, boolean keyed) throws Exception {
+    private List<String> askUntilKill(FaultyBroker broker, boolean keyed) throws Exception {
         List<String> unanswered = new ArrayList<>();
         try (Socket client = broker.connect()) {
             broker.terminate();
             long signalledAt = System.nanoTime();
-            long killAt = signalledAt + KILL_MS * 1_000_000L;
+            killAt = signalledAt + KILL_MS * 1_000_000L;
             for (int i = 0; System.nanoTime() < killAt; i++) {
                 long sentMs = (System.nanoTime() - signalledAt) / 1_000_000;
                 byte[] request =
@@ -114,7 +115,9 @@
     public void aMemberWithoutAPermitAnswersLateRequestsBeforeTheKill() throws Exception {
         try (FaultyBroker broker = member("-Dnone=0")) {
             assertEquals(List.of(), askUntilKill(broker, false));
-            assertTrue("still runs at the kill", broker.awaitExit(0));
+            assertTrue(
+                    "still runs at the kill",
+                    broker.awaitExit((killAt - System.nanoTime()) / 1_000_000));
         }
     }
 
