Give a recorded request the deadline of the shutdown while it is recorded

Callers of a keyed class whose request arrived late in a shutdown had no answer at the kill. Cause: RecordingSubmitter answered by the client's own deadline while the record or the outcome was written; only the run behind it had the shutdown's. Change: the deadline is limited before the request is recorded.

--- a/src/main/java/reeldeal/takeover/RecordingSubmitter.java
+++ b/src/main/java/reeldeal/takeover/RecordingSubmitter.java
@@ -185,7 +185,8 @@
     }
 
     @Override
-    public void submit(Request request, String clientKey, Consumer<Reply> reply) {
+    public void submit(Request received, String clientKey, Consumer<Reply> reply) {
+        Request request = broker.limitDeadline(received);
         Mode mode = classPolicies.mode(request.classIndex());
         if (mode == Mode.OFF) {
             broker.submit(request, reply);
