Stop a recorded request when its last client has left

Cause: a recorded request went on without its client by design, and a run was started though its client had left while the record was written. Change: the run ends when the last client of its key leaves, a run for a client starts only while one waits, and a later try of the key runs again within the window; runs taken over from a dead broker go on. Also mended: a client that left before an unrecorded run left its key running for good.

--- a/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
+++ b/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -71,12 +72,12 @@
     /** The keys of the requests that run, each with whether it runs under a record. */
     private final Map<String, Boolean> running = new HashMap<>();
 
-    /**
-     * The number of the last run that this broker started for a key; shard requests of that run may
-     * have been sent.
-     */
+    /** The number of the last run of a key that this broker started and may have sent. */
     private final Map<String, Integer> lastStartedRuns = new HashMap<>();
 
+    /** The keys of failed records that this broker runs again for a client that waits. */
+    private final Set<String> restartedKeys = new HashSet<>();
+
     /** Runs that have ended, kept until their records show the end. */
     private final Map<String, EndedRun> endedRuns = new HashMap<>();
 
@@ -141,6 +142,9 @@
             } else {
                 openRecords.remove(key);
                 lastStartedRuns.remove(key);
+                if (record == null || record.state() != RequestRecord.State.FAILED) {
+                    restartedKeys.remove(key);
+                }
             }
             reconcile(now, key);
         }
@@ -176,7 +180,7 @@
         waiting.removeIf(key, waitingClient -> waitingClient.request().client() == client);
     }
 
-    /** Handles the end of a run at this broker. */
+    /** Handles the end of a run. */
     public void runEnded(long now, String key, RunOutcome outcome, String text) {
         running.remove(key);
         if (owns(key) || writes.contains(key)) {
@@ -287,10 +291,7 @@
         }
     }
 
-    /**
-     * Whether an open record counts as a takeover in progress: this broker owns it after its first
-     * run, or has a write pending to claim or close it.
-     */
+    /** Whether an open record counts as a takeover in progress. */
     private boolean isClaimed(RequestRecord record) {
         return isOwn(record) ? record.runs() > 1 : writes.contains(record.key());
     }
@@ -376,7 +377,7 @@
         return false;
     }
 
-    /** Whether a run is in progress, or has ended but its record does not show the end yet. */
+    /** Whether a run is in progress, or its record does not show its end yet. */
     private boolean hasRun(String key) {
         return endedRuns.containsKey(key) || running.containsKey(key);
     }
@@ -391,6 +392,7 @@
                     RequestRecord.begun(waiting.first(key), broker, self.incarnation(), now);
             propose(now, key, recordWrites.create(newRecord), Purpose.RECORD);
         } else if (record != null && record.state() == RequestRecord.State.FAILED) {
+            restartedKeys.add(key);
             propose(now, key, restartOrEnd(now, record), Purpose.RECORD);
         }
     }
@@ -413,7 +415,7 @@
             actions.add(new RequestAction.Reject(request.client()));
         } else {
             running.putIfAbsent(request.key(), false);
-            actions.add(new RequestAction.ProceedUnrecorded(request.client()));
+            actions.add(new RequestAction.ProceedUnrecorded(request.client(), request.key()));
         }
     }
 
@@ -445,14 +447,22 @@
         if (wasStopped) {
             // Shard requests of the stopped run may have been sent.
             endWithoutRun(now, record, RunOutcome.FAILED);
-        } else if (record.runs() == 1 && !waiting.isWaitingFor(key)) {
+        } else if (isForClient(record) && !waiting.isWaitingFor(key)) {
             // The client disconnected or was rejected before the record was made.
-            endWithoutRun(now, record, RunOutcome.UNSENT);
+            endWithoutRun(now, record, outcomeOfUnsentRun(record));
         } else {
             runOrClose(now, record);
         }
     }
 
+    private static RunOutcome outcomeOfUnsentRun(RequestRecord record) {
+        return record.runs() == 1 ? RunOutcome.UNSENT : RunOutcome.FAILED;
+    }
+
+    private boolean isForClient(RequestRecord record) {
+        return record.runs() == 1 || restartedKeys.contains(record.key());
+    }
+
     private ConditionalWrite endWrite(RequestRecord record, EndedRun ended, long now) {
         return ended.outcome() == RunOutcome.UNSENT
                 ? recordWrites.withdraw(record)
@@ -477,7 +487,7 @@
         } else if (now >= retryAtMs.getOrDefault(key, Long.MIN_VALUE) && !writes.contains(key)) {
             running.put(key, true);
             lastStartedRuns.put(key, record.runs());
-            actions.add(new RequestAction.Run(record, isFirst));
+            actions.add(new RequestAction.Run(record, isFirst, isForClient(record)));
         }
     }
 
--- a/src/main/java/reeldeal/fleet/takeover/RequestAction.java
+++ b/src/main/java/reeldeal/fleet/takeover/RequestAction.java
@@ -28,8 +28,10 @@
      * Runs a request under its record.
      *
      * @param isFirstRun whether no shard request of it was ever sent
+     * @param isForClient whether it runs for a client of this broker, and not after a takeover
      */
-    record Run(RequestRecord record, boolean isFirstRun) implements RequestAction {}
+    record Run(RequestRecord record, boolean isFirstRun, boolean isForClient)
+            implements RequestAction {}
 
     /** Stops sending shard requests of a request whose record this broker no longer owns. */
     record Stop(String key) implements RequestAction {}
@@ -50,7 +52,7 @@
      * Runs a client's request without a record; its end is reported to {@link
      * InFlightRequests#runEnded}.
      */
-    record ProceedUnrecorded(long client) implements ClientAction {}
+    record ProceedUnrecorded(long client, String key) implements ClientAction {}
 
     /** Rejects a client whose request requires a record, which could not be made in time. */
     record Reject(long client) implements ClientAction {}
--- a/src/main/java/reeldeal/takeover/RecordingSubmitter.java
+++ b/src/main/java/reeldeal/takeover/RecordingSubmitter.java
@@ -40,6 +40,8 @@
     /** Only outcomes shorter than this fit into the store, in characters. */
     private static final int OUTCOME_LENGTH_LIMIT = MAX_TEXT_LENGTH * 4;
 
+    private static final String CLIENT_LEFT = "its client has left";
+
     /** A client that waits while its request is being recorded or runs under a record. */
     private record WaitingClient(Request request, String key, Consumer<Reply> reply) {}
 
@@ -243,8 +245,8 @@
     public void clientDisconnected(long id) {
         WaitingClient client = clients.remove(id);
         if (client != null) {
-            // A recorded request continues: its client may ask any broker for the outcome later.
             storeLoop.execute(() -> recordStore.clientDisconnected(client.key(), id));
+            endRunWithoutClients(client.key());
             return;
         }
         String key = keysByRequest.get(id);
@@ -255,7 +257,19 @@
         }
         broker.clientDisconnected(id);
         if (isRunOfClient) {
-            runEnded(key, run, new Reply.Failed("its client has left"));
+            runEnded(key, run, new Reply.Failed(CLIENT_LEFT));
+        }
+    }
+
+    /**
+     * Ends the run of a key whose last client has left: nothing may be sent for a client that is
+     * gone. A later try of the key runs again within the deduplication window.
+     */
+    private void endRunWithoutClients(String key) {
+        Run run = runs.get(key);
+        if (run != null && run.isRecorded && !isWaitedFor(key)) {
+            broker.clientDisconnected(run.requestId);
+            runEnded(key, run, new Reply.Failed(CLIENT_LEFT));
         }
     }
 
@@ -269,8 +283,8 @@
     // ---- RequestRecordStore.Runner, called on the store's loop ----
 
     @Override
-    public void run(RequestRecord record, boolean isFirstRun) {
-        loop.execute(() -> startRun(record, isFirstRun));
+    public void run(RequestAction.Run run) {
+        loop.execute(() -> startRun(run));
     }
 
     @Override
@@ -305,8 +319,8 @@
             double jitter = 0.5 + 0.5 * random.nextDouble();
             double retryAfterMs = settings.limits().maxRetryAfterMs() * jitter;
             answer(action.client(), new Reply.Rejected(retryAfterMs));
-        } else if (action instanceof RequestAction.ProceedUnrecorded) {
-            runUnrecorded(action.client());
+        } else if (action instanceof RequestAction.ProceedUnrecorded proceed) {
+            runUnrecorded(proceed.client(), proceed.key());
         }
     }
 
@@ -318,9 +332,12 @@
                 : RequestRecordCodec.reply(reply.outcome());
     }
 
-    private void runUnrecorded(long id) {
+    private void runUnrecorded(long id, String key) {
         WaitingClient client = clients.remove(id);
         if (client == null) {
+            if (!runs.containsKey(key)) {
+                runEnded(key, new Run(id, false), new Reply.Failed(CLIENT_LEFT));
+            }
             return;
         }
         Run run = new Run(id, false);
@@ -334,7 +351,9 @@
                 });
     }
 
-    private void startRun(RequestRecord record, boolean isFirstRun) {
+    private void startRun(RequestAction.Run action) {
+        RequestRecord record = action.record();
+        boolean isFirstRun = action.isFirstRun();
         (isFirstRun ? Failpoint.AFTER_RECORD : Failpoint.AFTER_CLAIM).reach();
         int classIndex = classPolicies.indexOf(record.queryClass());
         if (classIndex < 0) {
@@ -342,6 +361,11 @@
             // it.
             return;
         }
+        if (action.isForClient() && !isWaitedFor(record.key())) {
+            Run unsent = new Run(broker.nextRequestId(), true);
+            runEnded(record.key(), unsent, new Reply.Failed(CLIENT_LEFT));
+            return;
+        }
         Request clientRequest = isFirstRun ? waitingRequest(record) : null;
         Request request =
                 clientRequest != null ? clientRequest : requestOf(record, classIndex, isFirstRun);
@@ -351,6 +375,10 @@
         broker.submit(request, reply -> runEnded(record.key(), run, reply));
     }
 
+    private boolean isWaitedFor(String key) {
+        return clients.values().stream().anyMatch(client -> client.key().equals(key));
+    }
+
     /** Returns the request of a client that waits for this record, or null if there is none. */
     private Request waitingRequest(RequestRecord record) {
         return clients.values().stream()
--- a/src/main/java/reeldeal/takeover/RequestRecordStore.java
+++ b/src/main/java/reeldeal/takeover/RequestRecordStore.java
@@ -44,7 +44,7 @@
     /** Runs requests and answers clients at the broker. Called on the store's loop. */
     interface Runner {
         /** Runs a request under its record. */
-        void run(RequestRecord record, boolean isFirstRun);
+        void run(RequestAction.Run run);
 
         /** Stops the run of a request whose record this broker no longer owns. */
         void stop(String key);
@@ -282,7 +282,7 @@
         } else if (action instanceof RequestAction.Run run) {
             counters.increment(Counter.RECORDED);
             ownedKeys.add(run.record().key());
-            runner.run(run.record(), run.isFirstRun());
+            runner.run(run);
         } else if (action instanceof RequestAction.Stop stop) {
             ownedKeys.remove(stop.key());
             runner.stop(stop.key());
--- a/src/test/java/reeldeal/takeover/RequestCountersTest.java
+++ b/src/test/java/reeldeal/takeover/RequestCountersTest.java
@@ -27,7 +27,7 @@
 
     @Test
     public void clientActionsAreCountedByKind() {
-        counters.increment(new RequestAction.ProceedUnrecorded(1));
+        counters.increment(new RequestAction.ProceedUnrecorded(1, "k"));
         counters.increment(new RequestAction.Reject(2));
         counters.increment(new RequestAction.Conflict(3));
         counters.increment(new RequestAction.Reply(4, RequestRecord.State.DONE, ""));
