Decide in one place what may be sent for a request, and count violations at run time

Cause: whether an attempt might be written was decided in four places (the reducer's rules, Effect.Send, the transports, the records' fence), and an ended request was known to a transport only after the next tick. Change: RequestGuard, asked right before each write by both transports: the request is open, its deadline and window last, its record is owned. It counts refusals by reason, checks what the socket took and what is open at the exit, and logs VIOLATION lines, which the soak can look for. -Dreeldeal.trace=true logs every event and effect with its request.

--- /dev/null
+++ b/src/main/java/reeldeal/core/SendGuard.java
@@ -0,0 +1,12 @@
+package reeldeal.core;
+
+/** The transports' view of the rules on sending. Used on the broker's event loop. */
+@FunctionalInterface
+public interface SendGuard {
+
+    /** Whether an attempt may be written now; tested immediately before each write. */
+    boolean maySend(Effect.Send send);
+
+    /** Reports that the system has taken an attempt completely. */
+    default void sent(Effect.Send send) {}
+}
--- a/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
+++ b/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 import reeldeal.core.AttemptEnd;
 import reeldeal.core.AttemptEnd.Reach;
 import reeldeal.core.Effect;
 import reeldeal.core.Event;
 import reeldeal.core.Searcher;
+import reeldeal.core.SendGuard;
 import reeldeal.decision.DecisionModule.Outcome;
 import reeldeal.http.HttpClient;
 import reeldeal.searchers.SearcherTransport;
@@ -43,7 +43,7 @@
     private final DoubleSupplier clock;
     private final Consumer<Event> events;
     private final Map<String, List<Connection>> connectionsByAddress = new HashMap<>();
-    private Predicate<Effect.Send> fence; // null if all may be sent
+    private SendGuard guard = send -> true;
 
     /**
      * Creates a transport without connections; they are opened when calls need them.
@@ -147,7 +147,7 @@
             if (send == null) {
                 continue;
             }
-            if (send.mayBeWritten(now) && (fence == null || fence.test(send))) {
+            if (send.mayBeWritten(now) && guard.maySend(send)) {
                 sends.add(send);
             } else {
                 reportEnd(send, new AttemptEnd.NeverSent());
@@ -213,8 +213,8 @@
     }
 
     @Override
-    public void setFence(Predicate<Effect.Send> maySend) {
-        fence = maySend;
+    public void setGuard(SendGuard newGuard) {
+        guard = newGuard;
     }
 
     @Override
--- a/src/main/java/reeldeal/searchers/ConnectionPool.java
+++ b/src/main/java/reeldeal/searchers/ConnectionPool.java
@@ -8,12 +8,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 import reeldeal.core.AttemptEnd;
 import reeldeal.core.AttemptEnd.Reach;
 import reeldeal.core.Effect;
 import reeldeal.core.Event;
 import reeldeal.core.Searcher;
+import reeldeal.core.SendGuard;
 import reeldeal.decision.DecisionModule.Outcome;
 
 /**
@@ -67,7 +67,7 @@
     private final Map<AttemptKey, SearcherConnection> connectionsByAttempt = new HashMap<>();
     private final ConnectionListener listener = new ConnectionListener();
     private int openConnections;
-    private Predicate<Effect.Send> fence; // null if every attempt may be sent
+    private SendGuard guard = send -> true;
 
     /**
      * Creates a pool without connections.
@@ -157,8 +157,8 @@
     }
 
     @Override
-    public void setFence(Predicate<Effect.Send> maySend) {
-        fence = maySend;
+    public void setGuard(SendGuard newGuard) {
+        guard = newGuard;
     }
 
     /** Closes connections that are idle or have a health check without an answer in time. */
@@ -227,7 +227,12 @@
     private final class ConnectionListener implements SearcherConnection.Listener {
         @Override
         public boolean maySend(Effect.Send send) {
-            return fence == null || fence.test(send);
+            return guard.maySend(send);
+        }
+
+        @Override
+        public void sent(Effect.Send send) {
+            guard.sent(send);
         }
 
         @Override
--- a/src/main/java/reeldeal/searchers/SearcherConnection.java
+++ b/src/main/java/reeldeal/searchers/SearcherConnection.java
@@ -42,6 +42,9 @@
         /** Whether this attempt may still be written. Called immediately before the write. */
         boolean maySend(Effect.Send send);
 
+        /** Called when the socket has taken all bytes of an attempt. */
+        void sent(Effect.Send send);
+
         /**
          * Called when an attempt has ended. {@code loadReport} is the searcher's unparsed load
          * report.
@@ -186,13 +189,17 @@
             attempt.writtenAt = now;
             written.add(attempt);
         }
-        channel.writeAndFlush(FrameCodec.encodeCall(sends, now))
-                .addListener(
-                        future -> {
-                            for (PendingAttempt attempt : written) {
-                                attempt.flushed |= future.isSuccess();
-                            }
-                        });
+        ChannelFuture writing = channel.writeAndFlush(FrameCodec.encodeCall(sends, now));
+        writing.addListener(future -> onWritten(written, future.isSuccess()));
+    }
+
+    private void onWritten(List<PendingAttempt> written, boolean success) {
+        for (PendingAttempt attempt : written) {
+            attempt.flushed |= success;
+            if (success) {
+                listener.sent(attempt.send);
+            }
+        }
     }
 
     /**
--- a/src/main/java/reeldeal/searchers/SearcherTransport.java
+++ b/src/main/java/reeldeal/searchers/SearcherTransport.java
@@ -1,8 +1,8 @@
 package reeldeal.searchers;
 
-import java.util.function.Predicate;
 import reeldeal.core.Effect;
 import reeldeal.core.Searcher;
+import reeldeal.core.SendGuard;
 
 /**
  * Sends attempts to searchers. Every attempt passed to a transport ends in exactly one {@link
@@ -32,10 +32,10 @@
     void probe(Effect.Probe probe);
 
     /**
-     * Sets a predicate that is tested immediately before an attempt is written. An attempt that
-     * does not satisfy it is not written, and ends as {@link reeldeal.core.AttemptEnd.NeverSent}.
+     * Sets the guard that is asked immediately before an attempt is written. An attempt that it
+     * refuses is not written, and ends as {@link reeldeal.core.AttemptEnd.NeverSent}.
      */
-    void setFence(Predicate<Effect.Send> maySend);
+    void setGuard(SendGuard guard);
 
     /** Closes idle connections. Called periodically on the event loop. */
     void sweep();
--- a/src/main/java/reeldeal/searchers/TransportByKind.java
+++ b/src/main/java/reeldeal/searchers/TransportByKind.java
@@ -1,9 +1,9 @@
 package reeldeal.searchers;
 
 import java.util.Set;
-import java.util.function.Predicate;
 import reeldeal.core.Effect;
 import reeldeal.core.Searcher;
+import reeldeal.core.SendGuard;
 
 /**
  * Selects one of two transports by the searcher's kind. Like both transports, it is used on the
@@ -60,9 +60,9 @@
     }
 
     @Override
-    public void setFence(Predicate<Effect.Send> maySend) {
-        frames.setFence(maySend);
-        other.setFence(maySend);
+    public void setGuard(SendGuard guard) {
+        frames.setGuard(guard);
+        other.setGuard(guard);
     }
 
     @Override
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -17,6 +17,7 @@
 import reeldeal.core.Reducer;
 import reeldeal.core.Reply;
 import reeldeal.core.Request;
+import reeldeal.core.RequestGuard;
 import reeldeal.core.RequestSubmitter;
 import reeldeal.decision.DecisionModule.EndpointListKind;
 import reeldeal.discovery.DiscoveryWatcher;
@@ -39,6 +40,7 @@
     private static final long MAX_BUFFERED_BYTES = 8L << 20;
 
     private static final int MAINTENANCE_INTERVAL_MS = 1_000;
+    private static final boolean TRACING = Boolean.getBoolean("reeldeal.trace");
 
     /**
      * The fraction of the shortest latency objective within which a connection to a searcher must
@@ -50,6 +52,7 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final GracefulShutdown shutdown;
+    private final RequestGuard guard;
     private final MonotonicClock clock = new MonotonicClock();
     private final Reducer reducer;
     private final SearcherTransport searchers;
@@ -95,6 +98,7 @@
                         .max()
                         .orElseThrow();
         this.shutdown = new GracefulShutdown(ShutdownDeadlines.of(longestDeadlineMs), clock::now);
+        this.guard = new RequestGuard(clock::now, BrokerServer::log);
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
         SearcherTransport frameTransport =
                 new ConnectionPool(
@@ -119,6 +123,7 @@
                                         clock::now,
                                         this::enqueue),
                                 config.search().searcherKinds());
+        searchers.setGuard(guard);
         this.watcher =
                 config.discovery() == null ? null : createWatcher(config.discovery(), () -> {});
     }
@@ -268,6 +273,7 @@
                                 nextWatcher.stop();
                             }
                             searchers.close();
+                            guard.checkNothingOpen();
                         })
                 .sync();
         log("stopped");
@@ -280,7 +286,7 @@
      */
     void recordRequestsWith(RequestSubmitter recordingSubmitter, Predicate<Effect.Send> maySend) {
         submitter = recordingSubmitter;
-        searchers.setFence(maySend);
+        guard.setOwnership(maySend);
     }
 
     /** Returns the event loop on which the broker runs. */
@@ -361,6 +367,13 @@
                 && servers.stream().allMatch(server -> server.openConnections() == 0);
     }
 
+    /** Logs an event or effect with its request's id, reason and time, if tracing is on. */
+    private void trace(Record eventOrEffect) {
+        if (TRACING) {
+            log(clock.now() + " " + eventOrEffect);
+        }
+    }
+
     static void log(String line) {
         System.err.println(line);
     }
@@ -391,7 +404,9 @@
                                                 .latencyObjectiveMs(),
                                 reply,
                                 clock::now));
-        enqueue(new Event.Arrived(limitDeadline(request)));
+        Request limited = limitDeadline(request);
+        guard.opened(limited);
+        enqueue(new Event.Arrived(limited));
     }
 
     @Override
@@ -401,6 +416,7 @@
 
     @Override
     public void clientDisconnected(long request) {
+        guard.ended(request);
         if (replies.remove(request) != null) {
             enqueue(new Event.ClientDisconnected(request));
         }
@@ -423,6 +439,7 @@
      * interval apart.
      */
     private void enqueue(Event enqueue) {
+        trace((Record) enqueue);
         if (metrics != null && enqueue instanceof Event.AttemptEnded ended) {
             metrics.attemptEnded(ended.end());
         }
@@ -448,6 +465,7 @@
     }
 
     private void execute(Effect effect) {
+        trace((Record) effect);
         if (effect instanceof Effect.Call call) {
             if (metrics != null) {
                 metrics.attemptsSent(call.sends().size());
@@ -458,6 +476,7 @@
         } else if (effect instanceof Effect.Withdraw withdraw) {
             searchers.withdraw(withdraw);
         } else if (effect instanceof Effect.Answer answer) {
+            guard.ended(answer.requestId());
             Consumer<Reply> reply = replies.remove(answer.requestId());
             if (reply != null) {
                 reply.accept(answer.reply());
--- a/src/test/java/reeldeal/searchers/ConnectionPoolTest.java
+++ b/src/test/java/reeldeal/searchers/ConnectionPoolTest.java
@@ -115,7 +115,7 @@
         Set<Long> fenced = new HashSet<>();
         onEventLoop(
                 () -> {
-                    pool.setFence(send -> !fenced.contains(send.shardRequestId()));
+                    pool.setGuard(send -> !fenced.contains(send.shardRequestId()));
                     pool.call(call(1));
                     pool.call(call(2));
                     // The attempt is queued and its connection is not yet established.
