Reset a connection whose socket does not take a call within 50 ms

Searchers could get attempts after the request had ended or with a deadline that had passed. Cause: a call that the socket had taken in part or not at all stayed in the channel's buffer, and was written whenever the peer read again; neither the end of the request nor its deadline took it back. Change: such a connection is reset, its unwritten attempts end as unsent and go to another replica; the same for the HTTP client.

--- a/src/main/java/reeldeal/http/HttpClient.java
+++ b/src/main/java/reeldeal/http/HttpClient.java
@@ -25,6 +25,8 @@
  * client's group, as are the consumers of the results.
  */
 public final class HttpClient {
+    /** The time in which the socket must take a request, in milliseconds. */
+    private static final int WRITE_TIMEOUT_MS = 50;
 
     /** The outcome of a call. */
     public sealed interface Result {}
@@ -140,11 +142,26 @@
             return;
         }
         String hostAndPort = address.getHostString() + ":" + address.getPort();
-        destination
-                .writeAndFlush(
+        ChannelFuture writing =
+                destination.writeAndFlush(
                         HttpWriter.request(
-                                call.method(), call.target(), hostAndPort, call.headers(), body))
-                .addListener(future -> written |= destination == channel && future.isSuccess());
+                                call.method(), call.target(), hostAndPort, call.headers(), body));
+        writing.addListener(future -> written |= destination == channel && future.isSuccess());
+        if (!writing.isDone()) {
+            destination
+                    .eventLoop()
+                    .schedule(
+                            () -> failIfUnwritten(writing, destination),
+                            WRITE_TIMEOUT_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void failIfUnwritten(ChannelFuture writing, Channel destination) {
+        if (!writing.isDone() && destination == channel) {
+            destination.config().setOption(ChannelOption.SO_LINGER, 0);
+            fail("request not written in time");
+        }
     }
 
     /** Ends the call in flight without a response and closes the connection. */
--- a/src/main/java/reeldeal/searchers/SearcherConnection.java
+++ b/src/main/java/reeldeal/searchers/SearcherConnection.java
@@ -37,6 +37,9 @@
     /** The time in which a frame must be complete after its first bytes, in milliseconds. */
     private static final int FRAME_TIMEOUT_MS = 250;
 
+    /** The time in which the socket must take a call, in milliseconds. */
+    private static final int WRITE_TIMEOUT_MS = 50;
+
     /** The owner's side of a connection: decides on writes, and is notified of ends. */
     interface Listener {
         /** Whether this attempt may still be written. Called immediately before the write. */
@@ -191,6 +194,13 @@
         }
         ChannelFuture writing = channel.writeAndFlush(FrameCodec.encodeCall(sends, now));
         writing.addListener(future -> onWritten(written, future.isSuccess()));
+        if (!writing.isDone()) {
+            channel.eventLoop()
+                    .schedule(
+                            () -> resetIfUnwritten(writing),
+                            WRITE_TIMEOUT_MS,
+                            TimeUnit.MILLISECONDS);
+        }
     }
 
     private void onWritten(List<PendingAttempt> written, boolean success) {
@@ -202,6 +212,13 @@
         }
     }
 
+    /** Resets the connection if a call would be written when its requests may have ended. */
+    private void resetIfUnwritten(ChannelFuture writing) {
+        if (!closed && !writing.isDone()) {
+            reset("call not written within " + WRITE_TIMEOUT_MS + " ms");
+        }
+    }
+
     /**
      * Ends a pending attempt without waiting for its answer. If it was already written, sends a
      * cancel frame or resets a silent connection.
@@ -224,7 +241,9 @@
         if (unsent) {
             return;
         }
-        if (lastReadAt < attempt.writtenAt) {
+        if (!attempt.flushed) {
+            reset("abandoned before it was written");
+        } else if (lastReadAt < attempt.writtenAt) {
             // Nothing was read since the request was written, so the connection may be dead
             // although the searcher is alive. The call and a cancel frame after it might both stay
             // unread, and be read later while another attempt is in flight.
--- a/src/test/java/reeldeal/searchers/ConnectionPoolTest.java
+++ b/src/test/java/reeldeal/searchers/ConnectionPoolTest.java
@@ -3,7 +3,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.Assert.assertArrayEquals;
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.DataInputStream;
@@ -144,6 +146,40 @@
                 overLimit.end());
     }
 
+    @Test
+    public void aCallThatTheSocketDoesNotTakeIsNotWrittenAfterItsRequestHasEnded()
+            throws Exception {
+        ConnectionPool large =
+                new ConnectionPool(
+                        group,
+                        new ConnectionPool.Limits(64, 30_000, 10_000, 1),
+                        List.of(),
+                        () -> now,
+                        events::add,
+                        line -> {});
+        String text = "x".repeat(200_000);
+        server.setReceiveBufferSize(4_096);
+        onEventLoop(
+                () -> {
+                    for (long id = 1; id <= 64; id++) {
+                        Request request =
+                                new Request(id, "q" + id, 0, null, 1_000, false, text, List.of());
+                        Effect.Send send =
+                                new Effect.Send(
+                                        id, 0, request, 3, 500, Double.POSITIVE_INFINITY, null);
+                        large.call(new Effect.Call(searcher, List.of(send)));
+                    }
+                });
+        int unsent = 0;
+        for (int i = 0; i < 64; i++) {
+            Event.AttemptEnded ended = (Event.AttemptEnded) events.poll(1, TimeUnit.SECONDS);
+            assertNotNull("an attempt waits for the socket, after " + i, ended);
+            AttemptEnd.Broken broken = (AttemptEnd.Broken) ended.end();
+            unsent += broken.reach() == AttemptEnd.Reach.UNSENT ? 1 : 0;
+        }
+        assertTrue("unsent: " + unsent, unsent > 0);
+    }
+
     private static void writeFrame(Socket to, String frame) throws Exception {
         to.getOutputStream().write(new byte[] {0, 0, 0, (byte) frame.length()});
         to.getOutputStream().write(frame.getBytes(UTF_8));
