--- a/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
@@ -90,6 +90,9 @@
                         new InputStreamReader(started.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 note(line);
+                if (line.startsWith("VIOLATION")) {
+                    ledger.violation("guard", name + ": " + line);
+                }
                 if (line.startsWith("serving as ") && process == started) {
                     serving = true;
                 }
--- a/src/test/java/reeldeal/server/FaultyBroker.java
+++ b/src/test/java/reeldeal/server/FaultyBroker.java
@@ -24,6 +24,7 @@
 /** A broker process whose system calls a test makes fail. */
 final class FaultyBroker implements AutoCloseable {
     private static final int TIMEOUT_MS = 20_000;
+    private static final int FAULTS_AT_START_MS = 2_500;
     private static final String DEADLINES = "\"HardLimitMs\":1[02]000.0";
 
     final int port;
@@ -40,6 +41,16 @@
 
     FaultyBroker(int deadlineMs, List<Integer> searcherPorts, Map<String, String> environment)
             throws Exception {
+        this(deadlineMs, searcherPorts, environment, List.of());
+    }
+
+    /** Starts a broker of which all calls of some kinds fail for the first seconds. */
+    FaultyBroker(
+            int deadlineMs,
+            List<Integer> searcherPorts,
+            Map<String, String> environment,
+            List<SyscallFaults.Kind> faultsAtStart)
+            throws Exception {
         publish(discovery, searcherPorts);
         folder = Files.createTempDirectory("faulty");
         Path library = SyscallFaults.compile(folder);
@@ -74,7 +85,10 @@
         builder.environment().put("REELDEAL_STORE", "");
         builder.environment().putAll(faults.environment(1));
         builder.environment().putAll(environment);
+        faultsAtStart.forEach(kind -> faults.setPermille(kind, 1_000));
         process = builder.start();
+        Thread.sleep(faultsAtStart.isEmpty() ? 0 : FAULTS_AT_START_MS);
+        faults.clear();
         DaemonThreads.start(this::readLog);
         awaitLog("serving as ");
     }
--- a/src/test/java/reeldeal/server/FleetMemberFaultTest.java
+++ b/src/test/java/reeldeal/server/FleetMemberFaultTest.java
@@ -17,7 +17,10 @@
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
+import reeldeal.faultinjection.FakeSearcher;
 import reeldeal.faultinjection.TextCodec;
+import reeldeal.faultinjection.soak.SyscallFaults;
+import reeldeal.faultinjection.soak.SyscallFaults.Kind;
 
 /** Tests what the clients of a fleet's member see while it shuts down or its disk is slow. */
 public class FleetMemberFaultTest {
@@ -55,6 +58,12 @@
     }
 
     private FaultyBroker member(String options) throws Exception {
+        return member(options, List.of(), searchers.stream().map(SilentSearcher::port).toList());
+    }
+
+    private FaultyBroker member(
+            String options, List<SyscallFaults.Kind> faultsAtStart, List<Integer> searcherPorts)
+            throws Exception {
         int storePort;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             storePort = free.getLocalPort();
@@ -70,8 +79,9 @@
         FaultyBroker broker =
                 new FaultyBroker(
                         DEADLINE_MS,
-                        searchers.stream().map(SilentSearcher::port).toList(),
-                        Map.of("REELDEAL_STORE", store.toString(), "JDK_JAVA_OPTIONS", options));
+                        searcherPorts,
+                        Map.of("REELDEAL_STORE", store.toString(), "JDK_JAVA_OPTIONS", options),
+                        faultsAtStart);
         Thread.sleep(SETTLE_MS); // registration and the fleet's clock
         return broker;
     }
@@ -148,4 +158,32 @@
             }
         }
     }
+
+    @Test
+    public void aMemberStartsThoughItsDiskAndSocketsFailForAMoment() throws Exception {
+        List<Kind> kinds = List.of(Kind.FAIL_SOCKET, Kind.FAIL_FILE_WRITE, Kind.FAIL_FILE_SYNC);
+        try (FakeSearcher searcher = new FakeSearcher(0, name -> {});
+                FaultyBroker broker = member("-Dnone=0", kinds, List.of(searcher.port()));
+                Socket client = broker.connect()) {
+            client.getOutputStream().write(FaultyBroker.keyedRequest("k", DEADLINE_MS));
+            assertTrue(TextCodec.readHttp(client.getInputStream()).startsWith("200 "));
+        }
+    }
+
+    @Test
+    public void aStepOfTheWallClockEndsNoRecordedRequest() throws Exception {
+        int hourMs = 3_600_000;
+        try (FakeSearcher searcher = new FakeSearcher(300, name -> {});
+                FaultyBroker broker = member("-Dnone=0", List.of(), List.of(searcher.port()));
+                Socket client = broker.connect()) {
+            for (int offsetMs : new int[] {hourMs, -hourMs, 2_000, 0}) {
+                client.getOutputStream()
+                        .write(FaultyBroker.keyedRequest("k" + offsetMs, DEADLINE_MS));
+                Thread.sleep(100);
+                broker.faults.setWallOffsetMs(offsetMs);
+                String response = TextCodec.readHttp(client.getInputStream());
+                assertTrue(offsetMs + ": " + response, response.startsWith("200 "));
+            }
+        }
+    }
 }
