--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -94,10 +94,19 @@
                                 });
         ChannelFuture bound = bootstrap.bind(address);
         listener = bound.channel();
+        bound.addListener(
+                future -> {
+                    if (future.isSuccess()) {
+                        startSweeping(group);
+                    }
+                });
+        return bound;
+    }
+
+    private void startSweeping(EventLoopGroup group) {
         group.next()
                 .scheduleWithFixedDelay(
                         this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        return bound;
     }
 
     private ServerConnection newConnection(Channel channel) {
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -155,7 +155,7 @@
                         })
                 .sync();
         loop.submit(() -> JitWarmUp.run(config, clock.now())).sync();
-        platform.listen(group, config.listen()).sync();
+        StartupRetry.call("listening", () -> platform.listen(group, config.listen()).sync());
         if (config.search() != null) {
             HttpServer search =
                     new HttpServer(
@@ -168,7 +168,9 @@
                                             config.name())
                                     ::accept);
             servers.add(search);
-            search.listen(group, config.search().listen()).sync();
+            StartupRetry.call(
+                    "search front: listening",
+                    () -> search.listen(group, config.search().listen()).sync());
             log("search front on " + search.address());
         }
         ready = true;
--- a/src/main/java/reeldeal/server/StoreStartup.java
+++ b/src/main/java/reeldeal/server/StoreStartup.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import reeldeal.config.BrokerConfig;
 import reeldeal.config.StoreConfigReader;
@@ -32,9 +31,12 @@
     private RecordingSubmitter recordingSubmitter;
     private ServerStatsSharing statsSharing;
 
-    StoreStartup(StoreConfigReader settings) throws IOException {
+    StoreStartup(StoreConfigReader settings) throws Exception {
         this.settings = settings;
-        store = new StoreNode(stateGroup, settings.store(), BrokerServer::log);
+        store =
+                StartupRetry.call(
+                        "store: opening the folder",
+                        () -> new StoreNode(stateGroup, settings.store(), BrokerServer::log));
         ZonesConfig zonesConfig = settings.zones();
         zones = zonesConfig == null ? null : new ZoneWiring(stateGroup, store, zonesConfig);
     }
@@ -46,14 +48,19 @@
      */
     void start(byte[] configFile) throws Exception {
         FleetConfig fleetConfig = settings.fleet();
-        long startCount = fleetConfig == null ? 0 : StartCounter.next(settings.store().directory());
+        long startCount =
+                fleetConfig == null
+                        ? 0
+                        : StartupRetry.call(
+                                "store: counting the start",
+                                () -> StartCounter.next(settings.store().directory()));
         if (fleetConfig != null) {
             stateGroup
                     .next()
                     .submit(new RollbackCheck(stateGroup.next(), store, startCount)::begin)
                     .sync();
         }
-        store.start().sync();
+        StartupRetry.call("store: listening", () -> store.start().sync());
         EventLoopGroup group = new NioEventLoopGroup(1);
         StoredConfiguration storedConfiguration = new StoredConfiguration(stateGroup, store);
         byte[] configBytes = selectConfiguration(storedConfiguration, configFile);
--- a/src/main/java/reeldeal/server/ZoneWiring.java
+++ b/src/main/java/reeldeal/server/ZoneWiring.java
@@ -100,7 +100,8 @@
                         config.maxConnections(),
                         config.idleMs(),
                         BrokerServer::log);
-        InetSocketAddress bound = server.start(config.listen());
+        InetSocketAddress bound =
+                StartupRetry.call("dns: listening", () -> server.start(config.listen()));
         BrokerServer.log("dns on " + bound);
         stateGroup
                 .next()
--- a/src/main/java/reeldeal/zones/DnsServer.java
+++ b/src/main/java/reeldeal/zones/DnsServer.java
@@ -60,8 +60,15 @@
         this.log = log;
     }
 
-    /** Listens over TCP and, at the same address, over UDP; returns the bound address. */
+    /**
+     * Listens over TCP and, at the same address, over UDP; returns the bound address. May be called
+     * again if it has failed.
+     */
     public InetSocketAddress start(InetSocketAddress listen) throws Exception {
+        for (Channel channel : channels) {
+            channel.close().sync();
+        }
+        channels.clear();
         Channel tcpChannel =
                 new ServerBootstrap()
                         .group(group, group)
