Limit a searcher's start to what this broker's clock allows

A broker whose clock is an hour ahead took a searcher that had just come back for warm, against the budget of slow start; one that is an hour behind held it cold for an hour. Cause: the age of a searcher was the broker's clock less the list's since_ms. Change: a start is never in the future, and a start that the broker is told of is at most 15 s old. In the tests' calls of update a clock was added.

--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -136,7 +136,8 @@
         } else if (event instanceof Event.Probed probed) {
             onProbed(probed);
         } else if (event instanceof Event.EndpointsChanged changed) {
-            onEndpointsChanged(changed.kind(), changed.entries());
+            onEndpointsChanged(
+                    changed.kind(), searchers.update(changed.kind(), changed.entries(), now));
         } else if (event instanceof Event.ServerStatsImported imported) {
             searcherStats.importStats(imported.stats(), now);
         } else if (event instanceof Event.AdmissionQuotaChanged quota) {
@@ -226,8 +227,7 @@
         }
     }
 
-    private void onEndpointsChanged(EndpointListKind kind, List<Searcher> entries) {
-        SearcherDirectory.Change change = searchers.update(kind, entries);
+    private void onEndpointsChanged(EndpointListKind kind, SearcherDirectory.Change change) {
         for (SearcherDirectory.Stopped stopped : change.stopped()) {
             effects.add(new Effect.StopSending(stopped.searcher()));
             if (stopped.withdrawSends()) {
@@ -244,7 +244,7 @@
         engine.recoveryAdmission().setQuota(quota.share(), quota.retryAfterMs());
         engine.recoveryAdmission().setBrokerCounts(settings.brokers(), quota.brokers());
         if (searchers.assumeRestart(quota.restartedAtMs(), quota.restartedZone())) {
-            onEndpointsChanged(EndpointListKind.CHANGES, searchers.all());
+            onEndpointsChanged(EndpointListKind.CHANGES, searchers.reapply());
         }
     }
 
--- a/src/main/java/reeldeal/core/SearcherDirectory.java
+++ b/src/main/java/reeldeal/core/SearcherDirectory.java
@@ -21,10 +21,20 @@
     /** Number of low bits of the 64-bit hash that are dropped, since an id has 52 bits. */
     private static final int ID_SHIFT = 12;
 
+    /** The most time that passes between a start and the list of changes that tells it, in ms. */
+    static final double MAX_TOLD_AGE_MS = 15_000;
+
+    /** The earliest start that is told; 0 means long ago. */
+    private static final double EARLIEST_START_MS = 1;
+
+    /** A start as the list tells it, and as this broker takes it. */
+    private record Start(double listedMs, double believedMs) {}
+
     private final List<String> zones;
     private final List<String> kinds;
     private final Map<Long, Searcher> searchers = new HashMap<>();
     private final Map<String, Long> ids = new HashMap<>();
+    private final Map<String, Start> starts = new HashMap<>();
     private double restartedAtMs = Double.NEGATIVE_INFINITY;
     private String restartedZone = "";
 
@@ -55,8 +65,49 @@
      */
     record Change(List<Stopped> stopped, List<Server> servers) {}
 
-    /** Applies a new list, or changes to the present one. */
-    Change update(EndpointListKind kind, List<Searcher> entries) {
+    /**
+     * Applies a new list, or changes to the present one.
+     *
+     * @param nowMs present time of the broker's clock, which may differ from that of the list
+     */
+    Change update(EndpointListKind kind, List<Searcher> entries, double nowMs) {
+        for (Searcher entry : entries) {
+            believeStart(kind, entry, nowMs);
+        }
+        return apply(kind, entries);
+    }
+
+    /** Applies the present list again, after an assumed restart. */
+    Change reapply() {
+        return apply(EndpointListKind.CHANGES, all());
+    }
+
+    /**
+     * Limits a start to what this broker's clock allows: not in the future, and recent if this is
+     * the first that the broker hears of it. Otherwise a clock that is wrong by an hour would hide
+     * a searcher's slow start, or prolong it.
+     */
+    private void believeStart(EndpointListKind kind, Searcher entry, double nowMs) {
+        Start known = starts.get(entry.name());
+        boolean startedLongAgo = entry.startedMs() <= 0;
+        if (startedLongAgo || (known != null && known.listedMs() == entry.startedMs())) {
+            return;
+        }
+        boolean told = kind == EndpointListKind.CHANGES || ids.containsKey(entry.name());
+        double earliestMs = told ? nowMs - MAX_TOLD_AGE_MS : Double.NEGATIVE_INFINITY;
+        double latestMs = Math.max(nowMs, EARLIEST_START_MS);
+        double believedMs = Math.min(latestMs, Math.max(earliestMs, entry.startedMs()));
+        starts.put(entry.name(), new Start(entry.startedMs(), believedMs));
+    }
+
+    private double believedStart(Searcher searcher) {
+        Start start = starts.get(searcher.name());
+        return start != null && start.listedMs() == searcher.startedMs()
+                ? start.believedMs()
+                : searcher.startedMs();
+    }
+
+    private Change apply(EndpointListKind kind, List<Searcher> entries) {
         List<Stopped> stopped = new ArrayList<>();
         if (kind == EndpointListKind.COMPLETE) {
             removeMissing(entries, stopped);
@@ -87,6 +138,7 @@
 
     /** Drops all state of a searcher; new names appear all the time, and would fill the memory. */
     private Stopped remove(Searcher searcher) {
+        starts.remove(searcher.name());
         long id = ids.remove(searcher.name());
         searchers.remove(id);
         return new Stopped(searcher, id, true);
@@ -97,7 +149,7 @@
                 id,
                 Math.max(0, zones.indexOf(searcher.zone())),
                 searcher.cell(),
-                searcher.startedMs(),
+                believedStart(searcher),
                 searcher.size(),
                 Math.max(0, kinds.indexOf(searcher.kind())),
                 searcher.state());
--- a/src/test/java/reeldeal/core/OutgoingCallsTest.java
+++ b/src/test/java/reeldeal/core/OutgoingCallsTest.java
@@ -15,7 +15,8 @@
     private final long searcherId;
 
     OutgoingCallsTest() {
-        searchers.update(EndpointListKind.COMPLETE, List.of(ReducerFixture.searcher("s", "h:1")));
+        searchers.update(
+                EndpointListKind.COMPLETE, List.of(ReducerFixture.searcher("s", "h:1")), 0);
         searcherId = searchers.findId("s");
     }
 
--- a/src/test/java/reeldeal/core/SearcherDirectoryTest.java
+++ b/src/test/java/reeldeal/core/SearcherDirectoryTest.java
@@ -16,11 +16,16 @@
 import reeldeal.decision.DecisionModule.Server;
 
 class SearcherDirectoryTest {
+    private static final double HOUR_MS = 3_600_000;
+    private static final double NOW_MS = 3 * HOUR_MS;
+
+    private double nowMs = NOW_MS;
+
     private final SearcherDirectory searchers =
             new SearcherDirectory(List.of("z", "a"), List.of("k"));
 
     private Change update(EndpointListKind kind, Searcher... entries) {
-        return searchers.update(kind, List.of(entries));
+        return searchers.update(kind, List.of(entries), nowMs);
     }
 
     @Test
@@ -74,6 +79,7 @@
 
     @Test
     void afterAPowerLossAnEarlierStartIsReplacedInTheZone() {
+        nowMs = 1_000;
         assertTrue(searchers.assumeRestart(500, "a"));
         assertFalse(searchers.assumeRestart(500, "a"));
         Searcher otherZone = new Searcher("o", "h:2", "z", "", 0, 100, 1, EndpointState.READY);
@@ -93,4 +99,36 @@
         update(EndpointListKind.CHANGES, searcher("s", "h:1"), searcher("t", "h:2"));
         assertEquals(Set.of("t"), searchers.namesOf(Set.of(searchers.findId("t"), 3L)));
     }
+
+    private double startOf(EndpointListKind kind, double startedMs) {
+        Searcher entry = searcher("s", "h:1", startedMs, EndpointState.READY);
+        return update(kind, entry).servers().get(0).startedMs();
+    }
+
+    @Test
+    void aStartInTheFutureOfThisBrokersClockIsTakenAsNowAndStaysThere() {
+        assertEquals(NOW_MS, startOf(EndpointListKind.COMPLETE, NOW_MS + HOUR_MS));
+        Searcher again = searcher("s", "h:1", NOW_MS + HOUR_MS, EndpointState.READY);
+        Change later = searchers.update(EndpointListKind.COMPLETE, List.of(again), NOW_MS + 5_000);
+        assertEquals(NOW_MS, later.servers().get(0).startedMs());
+    }
+
+    @Test
+    void aRestartThatIsToldIsRecentThoughThisBrokersClockIsAnHourAhead() {
+        startOf(EndpointListKind.COMPLETE, 0);
+        double startedMs = startOf(EndpointListKind.CHANGES, NOW_MS - HOUR_MS);
+        assertTrue(startedMs >= NOW_MS - SearcherDirectory.MAX_TOLD_AGE_MS, "start " + startedMs);
+    }
+
+    @Test
+    void aPlausibleStartIsKept() {
+        assertEquals(NOW_MS - 900, startOf(EndpointListKind.CHANGES, NOW_MS - 900));
+        assertEquals(0, startOf(EndpointListKind.CHANGES, 0));
+        assertEquals(NOW_MS - HOUR_MS / 10, firstListed(NOW_MS - HOUR_MS / 10));
+    }
+
+    private double firstListed(double startedMs) {
+        Searcher entry = searcher("t", "h:2", startedMs, EndpointState.READY);
+        return update(EndpointListKind.COMPLETE, entry).servers().get(0).startedMs();
+    }
 }
