Move the reducer's ticks out of BrokerServer, and do not listen once told to end

Change: ReducerDriver holds events and ticks as they were; start returns before it listens if the drain has begun, and a listener that is not bound is closed without accepting.

--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -55,15 +55,13 @@
     private final RequestGuard guard;
     private final MonotonicClock clock = new MonotonicClock();
     private final Reducer reducer;
+    private final ReducerDriver driver;
     private final SearcherTransport searchers;
     private final Consumer<Event.EndpointsChanged> discoveryConsumer;
     private DiscoveryWatcher watcher;
     private DiscoveryWatcher nextWatcher;
     private final List<HttpServer> servers = new ArrayList<>();
     private final Map<Long, Consumer<Reply>> replies = new HashMap<>();
-    private List<Event> pendingEvents = new ArrayList<>();
-    private boolean tickScheduled;
-    private double lastTickAt = Double.NEGATIVE_INFINITY;
     private long nextRequestId = 1;
     private boolean ready;
     private volatile boolean drainedByFleet;
@@ -100,6 +98,9 @@
         this.shutdown = new GracefulShutdown(ShutdownDeadlines.of(longestDeadlineMs), clock::now);
         this.guard = new RequestGuard(clock::now, BrokerServer::log);
         this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
+        this.driver =
+                new ReducerDriver(
+                        loop, reducer, config.settings().tickMs(), clock::now, this::execute);
         SearcherTransport frameTransport =
                 new ConnectionPool(
                         group,
@@ -155,6 +156,9 @@
                         })
                 .sync();
         loop.submit(() -> JitWarmUp.run(config, clock.now())).sync();
+        if (shutdown.isDraining()) {
+            return; // told to end before it served
+        }
         StartupRetry.call("listening", () -> platform.listen(group, config.listen()).sync());
         if (config.search() != null) {
             HttpServer search =
@@ -365,7 +369,7 @@
 
     private boolean isIdle() {
         return reducer.openRequests() == 0
-                && pendingEvents.isEmpty()
+                && driver.isIdle()
                 && servers.stream().allMatch(server -> server.openConnections() == 0);
     }
 
@@ -436,34 +440,13 @@
 
     // ---- ticks ----
 
-    /**
-     * Enqueues an event for the next tick and schedules the tick. Ticks are at least the configured
-     * interval apart.
-     */
+    /** Enqueues an event for the next tick. */
     private void enqueue(Event enqueue) {
         trace((Record) enqueue);
         if (metrics != null && enqueue instanceof Event.AttemptEnded ended) {
             metrics.attemptEnded(ended.end());
         }
-        pendingEvents.add(enqueue);
-        if (!tickScheduled) {
-            tickScheduled = true;
-            double delayMs = lastTickAt + config.settings().tickMs() - clock.now();
-            if (delayMs <= 0) {
-                loop.execute(this::tick);
-            } else {
-                loop.schedule(this::tick, (long) (delayMs * 1e6), TimeUnit.NANOSECONDS);
-            }
-        }
-    }
-
-    private void tick() {
-        tickScheduled = false;
-        lastTickAt = clock.now();
-        List<Event> tickEvents = pendingEvents;
-        pendingEvents = new ArrayList<>();
-        List<Effect> effects = reducer.tick(lastTickAt, tickEvents);
-        effects.forEach(this::execute);
+        driver.enqueue(enqueue);
     }
 
     private void execute(Effect effect) {
--- a/src/main/java/reeldeal/sockets/RetryingServerSocketChannel.java
+++ b/src/main/java/reeldeal/sockets/RetryingServerSocketChannel.java
@@ -77,6 +77,10 @@
      * @param timeoutMs the most milliseconds for which a failing accept is tried again
      */
     public void closeAfterAccepting(long timeoutMs) {
+        if (!isActive()) {
+            close();
+            return;
+        }
         boolean failed = false;
         try {
             SocketChannel socket = javaChannel().accept();
