--- a/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -198,6 +198,7 @@
         int port = ports.get(index);
         SyscallFaults faults =
                 SyscallFaults.create(library, folder.resolve(name + ".faults").toAbsolutePath());
+        ledger.observe(name, faults);
         Map<String, String> environment =
                 new HashMap<>(faults.environment(random.nextLong() >>> 1));
         Path config = folder.resolve(name + ".json");
--- a/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
+++ b/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
@@ -26,6 +26,12 @@
 
     private static final int MAX_REPORTED = 200;
 
+    /** Separates the client's name of a request from the number of a later run. */
+    private static final char RUN_SEPARATOR = '~';
+
+    /** The end of a request whose broker was killed before it had to be answered. */
+    static final String KILLED = "killed";
+
     /** One request of a client. */
     static final class Request {
         final String name;
@@ -65,6 +71,7 @@
     }
 
     private final Map<String, Request> requests = new ConcurrentHashMap<>();
+    private final Map<String, SyscallFaults> faultsByBroker = new ConcurrentHashMap<>();
     private final Map<String, Long> firstRunByKey = new ConcurrentHashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<String, Integer> counts = new TreeMap<>();
@@ -84,15 +91,33 @@
         count("requests");
     }
 
-    /** Records an attempt that a searcher has received, with the deadline that it was told, ms. */
-    void attempt(String name, int shard, long toldMs, String searcher) {
+    /** Sets the faults of a broker, which tell when it wrote an attempt. */
+    void observe(String broker, SyscallFaults faults) {
+        faultsByBroker.put(broker, faults);
+    }
+
+    /** Returns when a broker wrote what has been read from its port, at the latest. */
+    private long writtenAt(Request request, int brokerPort) {
         long now = System.nanoTime();
-        Request request = requests.get(name);
-        count("attempts");
+        SyscallFaults faults = faultsByBroker.get(request.broker);
+        long written = faults == null ? 0 : faults.writtenAtNanos(brokerPort);
+        return written >= request.sentAt && written < now ? written : now;
+    }
+
+    /**
+     * Records an attempt that a searcher has received from a port of a broker, with the deadline
+     * that it was told, ms.
+     */
+    void attempt(String name, int shard, long toldMs, String searcher, int brokerPort) {
+        boolean isTakenOver = name.indexOf(RUN_SEPARATOR) > 0;
+        Request request =
+                requests.get(isTakenOver ? name.substring(0, name.indexOf(RUN_SEPARATOR)) : name);
+        count(isTakenOver ? "attempts of later runs" : "attempts");
         if (request == null) {
             violation("void", "searcher " + searcher + " got unknown request " + name);
             return;
         }
+        long now = writtenAt(request, brokerPort);
         request.attempts++;
         if (request.firstAttemptAt == 0) {
             request.firstAttemptAt = now;
@@ -104,6 +129,9 @@
             count("attempts not judged, harness stalled");
             return;
         }
+        if (isTakenOver && request.end.equals(KILLED)) {
+            return; // its client did not leave: its broker was killed, and another took it over
+        }
         long endedAt = request.endedAt;
         if (endedAt != 0 && now - endedAt > AFTER_CLOSE_MS * 1_000_000L) {
             violation(
--- a/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
@@ -274,7 +274,7 @@
             response = read(connection, request.lostAt());
         } catch (SocketTimeoutException e) {
             if (broker.excusesUnanswered(request.sentAt, COUNTED_FROM_MS)) {
-                ledger.excused(request, "killed");
+                ledger.excused(request, RequestLedger.KILLED);
             } else {
                 ledger.lost(request, "no answer in time, " + readState(connection));
             }
@@ -296,7 +296,7 @@
             return;
         }
         if (broker.excusesUnanswered(request.sentAt, COUNTED_FROM_MS)) {
-            ledger.excused(request, "killed");
+            ledger.excused(request, RequestLedger.KILLED);
         } else if (unreadBytes(connection) > 0 && request.attempts == 0) {
             ledger.excused(request, "unread");
         } else {
--- a/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
@@ -187,7 +187,12 @@
     private void onCall(List<ShardRequest> call, Socket connection, Set<String> cancelled)
             throws IOException {
         for (ShardRequest request : call) {
-            ledger.attempt(request.requestName(), request.shard(), request.toldMs(), name);
+            ledger.attempt(
+                    request.requestName(),
+                    request.shard(),
+                    request.toldMs(),
+                    name,
+                    connection.getPort());
             if (request.key() != null) {
                 ledger.runOnce(request.key(), request.shard());
             }
--- a/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
@@ -45,7 +45,8 @@
     private static final int INJECTED_AT = WALL_OFFSET_AT + 8;
     private static final int READ_BY_PORT_AT = INJECTED_AT + 4 * MAX_FAULTS + 4 * 30;
     private static final int PORTS = 65_536;
-    private static final int CONTROL_BYTES = READ_BY_PORT_AT + 4 * PORTS;
+    private static final int WRITTEN_BY_PORT_AT = READ_BY_PORT_AT + 4 * PORTS;
+    private static final int CONTROL_BYTES = WRITTEN_BY_PORT_AT + 8 * PORTS;
     private static final int MAX_PERMILLE = 1_000;
 
     private final Path library;
@@ -144,4 +145,12 @@
     public int bytesRead(int peerPort) {
         return control.getInt(READ_BY_PORT_AT + 4 * peerPort);
     }
+
+    /**
+     * Returns when the process last wrote to a connection that it opened from this port, by {@link
+     * System#nanoTime}; 0 if it never did.
+     */
+    public long writtenAtNanos(int ownPort) {
+        return control.getLong(WRITTEN_BY_PORT_AT + 8 * ownPort);
+    }
 }
--- a/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
+++ b/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
@@ -36,11 +36,14 @@
     volatile int32_t reserved[30];
     /* Bytes that the process has read from an accepted connection, by the port of the peer. */
     volatile uint32_t read_by_port[PORTS];
+    /* When the process last wrote to a connection that it opened, CLOCK_MONOTONIC in ns, by its port. */
+    volatile int64_t written_by_port[PORTS];
 };
 
 static struct control *control;
 static uint16_t accepted_port[MAX_FDS];
 static uint8_t is_outgoing[MAX_FDS];
+static uint16_t outgoing_port[MAX_FDS];
 static __thread uint64_t random_state;
 
 __attribute__((constructor)) static void attach(void) {
@@ -151,6 +154,7 @@
     }
     if (fd >= 0 && fd < MAX_FDS) {
         is_outgoing[fd] = 1;
+        outgoing_port[fd] = 0;
     }
     return REAL(connect)(fd, address, length);
 }
@@ -209,9 +213,24 @@
     return 0;
 }
 
+static ssize_t count_written(int fd, ssize_t bytes) {
+    if (!control || bytes <= 0 || fd < 0 || fd >= MAX_FDS || !is_outgoing[fd]) {
+        return bytes;
+    }
+    if (!outgoing_port[fd]) {
+        struct sockaddr_in own;
+        socklen_t length = sizeof own;
+        outgoing_port[fd] = getsockname(fd, (struct sockaddr *) &own, &length) == 0 ? ntohs(own.sin_port) : 0;
+    }
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    control->written_by_port[outgoing_port[fd]] = now.tv_sec * 1000000000LL + now.tv_nsec;
+    return bytes;
+}
+
 DECLARE(write);
 ssize_t write(int fd, const void *buffer, size_t length) {
-    return write_fails(fd, &length) ? -1 : REAL(write)(fd, buffer, length);
+    return write_fails(fd, &length) ? -1 : count_written(fd, REAL(write)(fd, buffer, length));
 }
 
 DECLARE(writev);
@@ -225,9 +244,10 @@
         return -1;
     }
     if (allowed < length && parts[0].iov_len > 0) {
-        return REAL(write)(fd, parts[0].iov_base, allowed < parts[0].iov_len ? allowed : parts[0].iov_len);
+        length = allowed < parts[0].iov_len ? allowed : parts[0].iov_len;
+        return count_written(fd, REAL(write)(fd, parts[0].iov_base, length));
     }
-    return REAL(writev)(fd, parts, count);
+    return count_written(fd, REAL(writev)(fd, parts, count));
 }
 
 DECLARE(pwrite64);
