End a member only once the ends of its requests are recorded

Cause: a request whose record took too long goes on without one; the record came later, and was still open when the process gave its lease back, so that another broker took it over and ran it again. Change: the drain waits for such records up to its end, and if they are still open the lease is left to lapse, by when the request's time is over. The oracle's two faults found beside it are mended: a paused broker was not resumed at the end of a run, and requests sent ahead had less time than the ones before them. Evidence: InFlightRequestsTest for the state, the soak for the whole; a kill with no SIGTERM in that moment still has the fault (open risk).

--- a/src/main/java/reeldeal/core/RequestSubmitter.java
+++ b/src/main/java/reeldeal/core/RequestSubmitter.java
@@ -41,6 +41,11 @@
         return request;
     }
 
+    /** Whether the end of some request is not recorded yet; the process should not end before. */
+    default boolean hasUnfinishedRecords() {
+        return false;
+    }
+
     /** Reports that the client of a request has disconnected; the request gets no reply. */
     void clientDisconnected(long requestId);
 
--- a/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -376,7 +376,7 @@
 
     private void pause() throws Exception {
         SoakBroker broker = anyBroker();
-        if (broker.isServing()) {
+        if (broker.isServing() && elapsedMs() < faultsEndAtMs - 2L * MAX_PAUSE_MS) {
             broker.signal("STOP");
             after(20 + random.nextInt(MAX_PAUSE_MS - 60), () -> broker.signal("CONT"));
         }
--- a/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
@@ -159,8 +159,11 @@
 
     private boolean sendAhead(Connection connection) throws IOException {
         List<Request> requests = new ArrayList<>();
+        int timeLeftMs = 0;
         for (int i = 2 + random.nextInt(2); i > 0; i--) {
-            Request request = newRequest();
+            // Answers come in order, so that no request may have less time than one before it.
+            Request request = newRequest(timeLeftMs);
+            timeLeftMs = request.timeLeftMs;
             ledger.begin(request);
             requests.add(request);
             if (!send(connection, request, encode(request), 0)) {
@@ -211,6 +214,10 @@
     // ---- one request ----
 
     private Request newRequest() {
+        return newRequest(0);
+    }
+
+    private Request newRequest(int minTimeLeftMs) {
         QueryClass queryClass = traffic.classes().get(random.nextInt(traffic.classes().size()));
         int first = random.nextInt(traffic.shards());
         int count = 1 + random.nextInt(4);
@@ -227,7 +234,7 @@
                 "q" + name,
                 queryClass.keyed() ? String.format("%032x", random.nextLong() >>> 1) : null,
                 shards,
-                MIN_TIME_LEFT_MS + random.nextInt(spread));
+                Math.max(minTimeLeftMs, MIN_TIME_LEFT_MS + random.nextInt(spread)));
     }
 
     private static byte[] encode(Request request) {
--- a/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
+++ b/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
@@ -105,7 +105,7 @@
         this(broker, policy, windows, bounds, recordReader, new RecordWrites());
     }
 
-    /** Creates the state with replaced {@link RecordWrites}, as the simulation does. */
+    /** Creates the state with replaced {@link RecordWrites}. */
     public InFlightRequests(
             String broker,
             TakeoverPolicy policy,
@@ -123,10 +123,7 @@
 
     // ---- inputs ----
 
-    /**
-     * Applies this node's new copy of the fleet; {@code newSelf} is this process as a member, null
-     * while it is not registered.
-     */
+    /** Applies this node's new copy of the fleet; {@code newSelf} is null if not registered. */
     public void onFleetChanged(long now, FleetView newFleet, Member newSelf) {
         fleet = newFleet;
         self = newSelf;
@@ -209,10 +206,7 @@
         reconcile(now, key);
     }
 
-    /**
-     * Sets whether this machine's clock may be wrong. If so, this broker makes no new records and
-     * takes over none, but still ends those that it has.
-     */
+    /** Sets whether this machine's clock may be wrong: if so, no records are made or claimed. */
     public void setClockInDoubt(boolean inDoubt) {
         isClockInDoubt = inDoubt;
     }
@@ -242,6 +236,13 @@
         return running.size() + waiting.size();
     }
 
+    /** Whether a run goes on, or a record of this broker does not show the end of its request. */
+    public boolean hasUnfinished() {
+        return !running.isEmpty()
+                || !endedRuns.isEmpty()
+                || openRecords.values().stream().anyMatch(this::isOwn);
+    }
+
     /** Returns how many open records, of any broker, this node's copy of the store contains. */
     public int openRecordCount() {
         return openRecords.size();
@@ -304,9 +305,7 @@
         return policy.verdict(record, now, window(record), isDeduplicated.test(record));
     }
 
-    /**
-     * Brings the run, the waiting clients and the pending write of a key in line with its record.
-     */
+    /** Brings the run, the waiting clients and the pending write of a key in line. */
     private void reconcile(long now, String key) {
         RequestRecord record = recordReader.apply(key);
         boolean isOwn = isOwn(record);
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -367,9 +367,15 @@
         return servers.get(0).address().getPort();
     }
 
+    @Override
+    public boolean hasUnfinishedRecords() {
+        return submitter != this && submitter.hasUnfinishedRecords();
+    }
+
     private boolean isIdle() {
         return reducer.openRequests() == 0
                 && driver.isIdle()
+                && !hasUnfinishedRecords()
                 && servers.stream().allMatch(server -> server.openConnections() == 0);
     }
 
--- a/src/main/java/reeldeal/server/Main.java
+++ b/src/main/java/reeldeal/server/Main.java
@@ -162,7 +162,11 @@
             if (statsSharing != null) {
                 statsSharing.stop();
             }
-            if (node != null) {
+            if (node != null && broker.hasUnfinishedRecords()) {
+                // Others would take over requests that have ended; once the lease has lapsed, their
+                // time is over.
+                BrokerServer.log("not deregistered: the end of a request is not recorded");
+            } else if (node != null) {
                 node.deregister();
             }
         } catch (InterruptedException | RuntimeException e) {
--- a/src/main/java/reeldeal/takeover/RecordingSubmitter.java
+++ b/src/main/java/reeldeal/takeover/RecordingSubmitter.java
@@ -176,6 +176,12 @@
         return broker.ready();
     }
 
+    /** Whether another broker could take a request that has ended here for one still to be run. */
+    @Override
+    public boolean hasUnfinishedRecords() {
+        return recordStore.hasUnfinished();
+    }
+
     @Override
     public boolean deduplicates(int queryClass) {
         return classPolicies.mode(queryClass) != Mode.OFF;
--- a/src/main/java/reeldeal/takeover/RequestRecordStore.java
+++ b/src/main/java/reeldeal/takeover/RequestRecordStore.java
@@ -82,6 +82,7 @@
     private final Map<Long, Long> batchSentAtMs = new HashMap<>();
 
     private final List<CommittedBatch> committedBatches = new ArrayList<>();
+    private volatile boolean unfinished;
     private Runner runner;
     private boolean applyScheduled;
 
@@ -189,6 +190,11 @@
         return ownedKeys.contains(key);
     }
 
+    /** Whether records of this broker do not show the end of their requests. Thread-safe. */
+    boolean hasUnfinished() {
+        return unfinished;
+    }
+
     /** Increments a counter. Thread-safe. */
     void count(Counter counter) {
         counters.increment(counter);
@@ -269,6 +275,7 @@
     private void performActions() {
         requests.drainActions().forEach(this::perform);
         ownedKeys.removeIf(key -> !requests.owns(key));
+        unfinished = requests.hasUnfinished();
         sendBatches();
     }
 
--- a/src/test/java/reeldeal/fleet/takeover/InFlightRequestsTest.java
+++ b/src/test/java/reeldeal/fleet/takeover/InFlightRequestsTest.java
@@ -1,6 +1,7 @@
 package reeldeal.fleet.takeover;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 import static reeldeal.fleet.takeover.TestRecords.open;
@@ -85,6 +86,25 @@
                 actionTypes());
     }
 
+    @Test
+    public void aRequestIsUnfinishedUntilARecordThatCameAfterItsRunIsGone() {
+        register();
+        requests.submit(1_000, request(2, "may", false));
+        assertEquals(List.of(Propose.class), actionTypes());
+        assertFalse(requests.hasUnfinished());
+        requests.tick(1_250); // goes on without the record, whose write is under way
+        requests.runEnded(1_300, "may", InFlightRequests.RunOutcome.DONE, "whole=true");
+        assertTrue(requests.hasUnfinished());
+        recordCopy.put("may", open("may", "a", 1, 9_000));
+        requests.recordsChanged(1_400, List.of("may"));
+        requests.writeEnded(1_400, "may", true);
+        assertTrue(requests.hasUnfinished());
+        recordCopy.remove("may");
+        requests.recordsChanged(1_500, List.of("may"));
+        requests.writeEnded(1_500, "may", true);
+        assertFalse(requests.hasUnfinished());
+    }
+
     @Test
     public void clientsStopWaitingForARecordAfterTheRecordTimeout() {
         register();
