--- a/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
+++ b/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
@@ -159,6 +159,16 @@
     return REAL(connect)(fd, address, length);
 }
 
+/* A descriptor may name a file next, whose reads are no client's bytes. */
+DECLARE(close);
+int close(int fd) {
+    if (fd >= 0 && fd < MAX_FDS) {
+        accepted_port[fd] = 0;
+        is_outgoing[fd] = 0;
+    }
+    return REAL(close)(fd);
+}
+
 DECLARE(epoll_wait);
 int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
     if (strikes(INTERRUPT_WAIT)) {
