--- a/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -171,24 +171,25 @@
     }
 
     private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
-        for (int port = 12_000 + (int) (System.nanoTime() / 1_000 % 15_000);
-                ports.size() < count;
-                port++) {
-            try {
-                held.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        int port = 12_000 + (int) (System.nanoTime() / 1_000 % 15_000);
+        while (ports.size() < count) {
+            port++;
+            if (isFree(port)) {
                 ports.add(port);
-            } catch (IOException taken) {
-                continue;
             }
         }
-        for (ServerSocket socket : held) {
-            socket.close();
-        }
         return ports;
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort() == port;
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     private boolean isGrouped(int index) {
         return index < size.groups() * GROUP_SIZE;
     }
--- a/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
+++ b/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * The oracle of the soak: knows every request of every client and every attempt that a searcher
@@ -44,7 +45,7 @@
         volatile long sentAt;
         volatile long endedAt; // when the client had its answer or had closed; 0 before
         volatile String end = "open";
-        volatile int attempts;
+        final AtomicInteger attempts = new AtomicInteger();
         volatile long firstAttemptAt;
 
         Request(
@@ -118,7 +119,7 @@
             return;
         }
         long now = writtenAt(request, brokerPort);
-        request.attempts++;
+        request.attempts.incrementAndGet();
         if (request.firstAttemptAt == 0) {
             request.firstAttemptAt = now;
         }
@@ -208,7 +209,7 @@
                 request.broker,
                 request.timeLeftMs,
                 (request.sentAt - startedAt) / 1_000_000,
-                request.attempts,
+                request.attempts.get(),
                 request.end);
     }
 
--- a/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
@@ -304,7 +304,7 @@
         }
         if (broker.excusesUnanswered(request.sentAt, COUNTED_FROM_MS)) {
             ledger.excused(request, RequestLedger.KILLED);
-        } else if (unreadBytes(connection) > 0 && request.attempts == 0) {
+        } else if (unreadBytes(connection) > 0 && request.attempts.get() == 0) {
             ledger.excused(request, "unread");
         } else {
             ledger.lost(request, how + " after it was read");
--- a/src/main/java/reeldeal/faultinjection/soak/StallMonitor.java
+++ b/src/main/java/reeldeal/faultinjection/soak/StallMonitor.java
@@ -1,5 +1,6 @@
 package reeldeal.faultinjection.soak;
 
+import java.util.concurrent.atomic.AtomicInteger;
 import reeldeal.faultinjection.DaemonThreads;
 
 /**
@@ -11,7 +12,7 @@
     private static final long STALL_NANOS = 25_000_000;
 
     private volatile long lastStallAt = Long.MIN_VALUE;
-    private volatile int stalls;
+    private final AtomicInteger stalls = new AtomicInteger();
 
     /** Starts a monitor, which runs until the JVM ends. */
     StallMonitor() {
@@ -25,7 +26,7 @@
             long now = System.nanoTime();
             if (now - previous > STALL_NANOS) {
                 lastStallAt = now;
-                stalls++;
+                stalls.incrementAndGet();
             }
             previous = now;
         }
@@ -37,6 +38,6 @@
     }
 
     int count() {
-        return stalls;
+        return stalls.get();
     }
 }
--- a/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
@@ -16,28 +16,34 @@
  * rates take effect at once, since the process and this JVM share a mapped file. Thread-safe.
  */
 public final class SyscallFaults {
-    /** A kind of failure; the order is that of {@code enum fault} in syscall_faults.c. */
+    /** A kind of failure, with its number in {@code enum fault} of syscall_faults.c. */
     public enum Kind {
         /** accept fails with ENFILE, ENOBUFS or ENOMEM. */
-        FAIL_ACCEPT,
+        FAIL_ACCEPT(0),
         /** socket fails with ENFILE, ENOBUFS or ENOMEM. */
-        FAIL_SOCKET,
+        FAIL_SOCKET(1),
         /** connect fails with EADDRNOTAVAIL, ENETUNREACH or ENOBUFS. */
-        FAIL_CONNECT,
+        FAIL_CONNECT(2),
         /** A wait for events ends with EINTR. */
-        INTERRUPT_WAIT,
+        INTERRUPT_WAIT(3),
         /** A socket gives fewer bytes than it has. */
-        SHORT_READ,
+        SHORT_READ(4),
         /** A socket takes fewer bytes than it is given. */
-        SHORT_WRITE,
+        SHORT_WRITE(5),
         /** A write to a file fails with ENOSPC or EIO. */
-        FAIL_FILE_WRITE,
+        FAIL_FILE_WRITE(6),
         /** A sync of a file fails with EIO. */
-        FAIL_FILE_SYNC,
+        FAIL_FILE_SYNC(7),
         /** A connection that the process opened breaks: ETIMEDOUT, EHOSTUNREACH or ECONNRESET. */
-        BREAK_CONNECTION,
+        BREAK_CONNECTION(8),
         /** A read from a socket ends with EINTR. */
-        INTERRUPT_READ
+        INTERRUPT_READ(9);
+
+        private final int index;
+
+        Kind(int index) {
+            this.index = index;
+        }
     }
 
     private static final int MAX_FAULTS = 16;
@@ -118,7 +124,7 @@
         if (permille < 0 || permille > MAX_PERMILLE) {
             throw new IllegalArgumentException("permille: expected 0 to 1000, found " + permille);
         }
-        control.putInt(4 * kind.ordinal(), permille);
+        control.putInt(4 * kind.index, permille);
     }
 
     /** Sets how far the wall clock of the process is ahead, ms; negative if it is behind. */
@@ -135,7 +141,7 @@
 
     /** Returns how many calls of a kind have failed so far. */
     public int injected(Kind kind) {
-        return control.getInt(INJECTED_AT + 4 * kind.ordinal());
+        return control.getInt(INJECTED_AT + 4 * kind.index);
     }
 
     /**
