Count the time that input waits for a busy or halted broker, and read it before a send

Cause: a request's time counted from the moment in which the broker read it. A process that was halted or starved told its searchers the time that the client had had before: 1476 ms of 1084 after a halt of 400 ms. Likewise an attempt was written although its client's end had arrived and was still unread. Change: EventLoopLag bounds how long input may have waited; a connection dates its input by it, and RequestGuard has the connections of open requests read before it decides while the loop is late.

--- a/src/main/java/reeldeal/core/RequestGuard.java
+++ b/src/main/java/reeldeal/core/RequestGuard.java
@@ -58,6 +58,7 @@
     private final Map<Refusal, Integer> refusals = new EnumMap<>(Refusal.class);
     private final Map<Violation, Integer> violations = new EnumMap<>(Violation.class);
     private Predicate<Effect.Send> isOwned = send -> true;
+    private Runnable inputReader = () -> {};
     private double loggedAtMs = Double.NEGATIVE_INFINITY;
 
     /** Creates a guard without requests. */
@@ -71,6 +72,14 @@
         isOwned = ownership;
     }
 
+    /**
+     * Sets the task that reads what clients have sent if that is overdue, so that those that have
+     * left are reported to {@link #ended}; run before each decision.
+     */
+    public void setInputReader(Runnable reader) {
+        inputReader = reader;
+    }
+
     /** Records that a client waits for the answer to a request. */
     public void opened(Request request) {
         open.put(request.id(), request);
@@ -99,6 +108,7 @@
     }
 
     private Refusal refusal(Effect.Send send) {
+        inputReader.run();
         if (!open.containsKey(send.request().id())) {
             return Refusal.REQUEST_ENDED;
         }
--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import reeldeal.sockets.EventLoopLag;
 import reeldeal.sockets.RetryingServerSocketChannel;
 import reeldeal.sockets.SocketChannels;
 
@@ -39,6 +40,7 @@
     private final LongSupplier clock;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final ConnectionTracker connectionTracker = new ConnectionTracker();
+    private final EventLoopLag lag = new EventLoopLag();
     private Channel listener;
     private boolean closing;
     private boolean keepIdle;
@@ -97,6 +99,7 @@
         bound.addListener(
                 future -> {
                     if (future.isSuccess()) {
+                        lag.start(listener.eventLoop());
                         startSweeping(group);
                     }
                 });
@@ -145,6 +148,16 @@
         }
     }
 
+    /**
+     * Reads the connections of unanswered requests if the event loop is late, so that a client that
+     * has left is noticed before more is done for it.
+     */
+    public void readDelayedInput() {
+        if (lag.lagMs() > 0) {
+            Set.copyOf(connections).forEach(ServerConnection::readWhileUnanswered);
+        }
+    }
+
     /** Returns the number of open connections. */
     public int openConnections() {
         return connections.size();
@@ -253,6 +266,11 @@
             return closing;
         }
 
+        @Override
+        public long lagMs() {
+            return lag.lagMs();
+        }
+
         @Override
         public void disconnected(ServerConnection connection) {
             remove(connection);
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import reeldeal.sockets.SocketChannels;
 
 /**
  * One connection of an {@link HttpServer}: reads requests, passes them to the handler one at a
@@ -68,6 +69,9 @@
         /** Whether the server is closing, so that each response closes its connection. */
         boolean isServerClosing();
 
+        /** Returns the longest time for which input that is read now may have waited, ms. */
+        long lagMs();
+
         /** Reports that the connection's channel was closed. */
         void disconnected(ServerConnection connection);
     }
@@ -192,6 +196,16 @@
                 && !parser.inMessage();
     }
 
+    /** Reads what has arrived if a request waits for its response. */
+    void readWhileUnanswered() {
+        if (currentExchange != null && context.channel().config().isAutoRead()) {
+            SocketChannels.readNow(context.channel());
+            if (!context.channel().isActive()) {
+                channelInactive(context); // Netty reports it later; then nothing is left to do
+            }
+        }
+    }
+
     /** Ends the connection or rejects its incomplete request if the time limit has passed. */
     void checkTimeouts(long now, boolean keepIdle) {
         if (currentExchange != null || delayedAfterBadRequests) {
@@ -245,7 +259,7 @@
             requestStartedAt = clock.getAsLong();
         }
         parser.feed(bytes, 0, bytes.length);
-        arrivals.add(bytes.length, clock.getAsLong());
+        arrivals.add(bytes.length, clock.getAsLong() - listener.lagMs());
         memory.adjust(parser.bufferedBytes() - bufferedBefore);
         if (!memory.isExceeded() || parser.bufferedBytes() <= bufferedBefore) {
             processNextRequest();
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -124,6 +124,7 @@
                                         clock::now,
                                         this::enqueue),
                                 config.search().searcherKinds());
+        guard.setInputReader(() -> servers.forEach(HttpServer::readDelayedInput));
         searchers.setGuard(guard);
         this.watcher =
                 config.discovery() == null ? null : createWatcher(config.discovery(), () -> {});
--- a/src/main/java/reeldeal/sockets/SocketChannels.java
+++ b/src/main/java/reeldeal/sockets/SocketChannels.java
@@ -29,4 +29,11 @@
                 ? accepted.acceptDelayMs()
                 : 0;
     }
+
+    /** Reads what has arrived on a channel, without waiting. Called on the channel's event loop. */
+    public static void readNow(Channel channel) {
+        if (channel instanceof InterruptibleSocketChannel socket && socket.isActive()) {
+            socket.unsafe().read();
+        }
+    }
 }
--- a/src/test/java/reeldeal/core/RequestGuardTest.java
+++ b/src/test/java/reeldeal/core/RequestGuardTest.java
@@ -71,4 +71,12 @@
         guard.checkNothingOpen();
         assertEquals(Map.of(RequestGuard.Violation.UNANSWERED_AT_EXIT, 1), guard.violations());
     }
+
+    @Test
+    public void nothingIsSentForAClientWhoseEndHasArrivedButIsUnread() {
+        guard.opened(request);
+        guard.setInputReader(() -> guard.ended(1));
+        assertFalse(guard.maySend(send(400)));
+        assertEquals(Map.of(RequestGuard.Refusal.REQUEST_ENDED, 1), guard.refusals());
+    }
 }
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -26,6 +27,8 @@
 
 /** Tests the server's limits on memory, connections and time, and how connections are ended. */
 public class HttpServerTest {
+    private static final int BUSY_MS = 200;
+    private static final int DEADLINE_SLACK_MS = 150;
     private static final String POST_60000_BYTES =
             "POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n";
 
@@ -400,4 +403,56 @@
                             && answer.toLowerCase(Locale.ROOT).contains("connection: close"));
         }
     }
+
+    @Test
+    public void aClientThatLeavesABusyServerIsNoticedBeforeItsRequestGoesOn() throws Exception {
+        try (Socket client = client()) {
+            write(client, "GET /later HTTP/1.1\r\n\r\n");
+            unanswered.take();
+            CountDownLatch busy = new CountDownLatch(1);
+            CountDownLatch left = new CountDownLatch(1);
+            Future<Long> stillOpen =
+                    group.next()
+                            .submit(
+                                    () -> {
+                                        busy.countDown();
+                                        left.await();
+                                        Thread.sleep(BUSY_MS);
+                                        server.readDelayedInput();
+                                        return disconnected.getCount();
+                                    });
+            busy.await();
+            client.close();
+            left.countDown();
+            assertEquals(0, (long) stillOpen.get());
+        }
+    }
+
+    @Test
+    public void theWaitForABusyServerCountsAsTimeOfTheRequest() throws Exception {
+        try (Socket client = client()) {
+            CountDownLatch busy = new CountDownLatch(1);
+            group.next()
+                    .execute(
+                            () -> {
+                                busy.countDown();
+                                sleep(2 * BUSY_MS);
+                            });
+            busy.await();
+            long sentAt = System.nanoTime();
+            write(client, "GET /later HTTP/1.1\r\n\r\n");
+            Exchange exchange = unanswered.take();
+            double elapsedMs = (System.nanoTime() - sentAt) / 1e6;
+            double waitedMs = exchange.waitedMs();
+            assertTrue(waitedMs + " of " + elapsedMs, waitedMs >= elapsedMs - DEADLINE_SLACK_MS);
+        }
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/test/java/reeldeal/server/FaultyBroker.java
+++ b/src/test/java/reeldeal/server/FaultyBroker.java
@@ -157,6 +157,11 @@
         process.toHandle().destroy();
     }
 
+    /** Sends a signal by its name, for example STOP. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    }
+
     boolean awaitExit(long timeoutMs) throws InterruptedException {
         return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
     }
--- a/src/test/java/reeldeal/server/SystemCallFaultTest.java
+++ b/src/test/java/reeldeal/server/SystemCallFaultTest.java
@@ -138,4 +138,20 @@
             assertTrue(toldMs + " of " + leftMs, toldMs <= leftMs + DEADLINE_SLACK_MS);
         }
     }
+
+    @Test
+    public void theDeadlineToldByABrokerThatWasHeldUpIsNotLaterThanTheClients() throws Exception {
+        try (ServerSocket searcher = new ServerSocket(0);
+                FaultyBroker stopped = new FaultyBroker(2_000, List.of(searcher.getLocalPort()));
+                Socket client = stopped.connect()) {
+            stopped.signal("STOP");
+            long sentAt = System.nanoTime();
+            client.getOutputStream().write(FaultyBroker.keyedRequest("a", 1_500));
+            Thread.sleep(400);
+            stopped.signal("CONT");
+            long toldMs = toldDeadline(searcher);
+            long leftMs = 1_500 - (System.nanoTime() - sentAt) / 1_000_000;
+            assertTrue(toldMs + " of " + leftMs, toldMs <= leftMs + DEADLINE_SLACK_MS);
+        }
+    }
 }
