Time each attempt in the soak by its own write, and let waits return late

Cause: an attempt was dated by the latest write to its connection, which may be that of a later one, and a report did not show how long the client itself took to write. Change: the preloaded library keeps the last 16 writes of a connection with their offsets; reports show the attempt's name and the client's write; a new fault, DELAY_WAIT, returns a wait 30 ms late.

--- a/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
+++ b/src/main/java/reeldeal/faultinjection/soak/RequestLedger.java
@@ -42,7 +42,8 @@
         final String key;
         final List<Integer> shards;
         final int timeLeftMs;
-        volatile long sentAt;
+        volatile long sentAt; // when its last byte was about to be written
+        volatile long writtenAt; // when the client's write had returned; 0 before
         volatile long endedAt; // when the client had its answer or had closed; 0 before
         volatile String end = "open";
         final AtomicInteger attempts = new AtomicInteger();
@@ -71,6 +72,9 @@
         }
     }
 
+    /** What a searcher has read from one connection of a broker, up to the end of an attempt. */
+    record Received(int brokerPort, long bytes) {}
+
     private final Map<String, Request> requests = new ConcurrentHashMap<>();
     private final Map<String, SyscallFaults> faultsByBroker = new ConcurrentHashMap<>();
     private final Map<String, Long> firstRunByKey = new ConcurrentHashMap<>();
@@ -92,24 +96,27 @@
         count("requests");
     }
 
+    /** Records that the system has taken the last byte of a request. */
+    void written(Request request) {
+        request.writtenAt = System.nanoTime();
+    }
+
     /** Sets the faults of a broker, which tell when it wrote an attempt. */
     void observe(String broker, SyscallFaults faults) {
         faultsByBroker.put(broker, faults);
     }
 
-    /** Returns when a broker wrote what has been read from its port, at the latest. */
-    private long writtenAt(Request request, int brokerPort) {
+    /** Returns when a broker wrote the last of these bytes, at the latest. */
+    private long writtenAt(Request request, Received received) {
         long now = System.nanoTime();
         SyscallFaults faults = faultsByBroker.get(request.broker);
-        long written = faults == null ? 0 : faults.writtenAtNanos(brokerPort);
+        long written =
+                faults == null ? 0 : faults.writtenAtNanos(received.brokerPort(), received.bytes());
         return written >= request.sentAt && written < now ? written : now;
     }
 
-    /**
-     * Records an attempt that a searcher has received from a port of a broker, with the deadline
-     * that it was told, ms.
-     */
-    void attempt(String name, int shard, long toldMs, String searcher, int brokerPort) {
+    /** Records an attempt that a searcher has received, with the deadline that it was told, ms. */
+    void attempt(String name, int shard, long toldMs, String searcher, Received received) {
         boolean isTakenOver = name.indexOf(RUN_SEPARATOR) > 0;
         Request request =
                 requests.get(isTakenOver ? name.substring(0, name.indexOf(RUN_SEPARATOR)) : name);
@@ -118,7 +125,7 @@
             violation("void", "searcher " + searcher + " got unknown request " + name);
             return;
         }
-        long now = writtenAt(request, brokerPort);
+        long now = writtenAt(request, received);
         request.attempts.incrementAndGet();
         if (request.firstAttemptAt == 0) {
             request.firstAttemptAt = now;
@@ -139,6 +146,8 @@
                     "lost",
                     describe(request)
                             + ": attempt "
+                            + name
+                            + " "
                             + (now - endedAt) / 1_000_000
                             + " ms after its end");
         }
@@ -203,12 +212,13 @@
 
     String describe(Request request) {
         return String.format(
-                "%s %s at %s, %d ms, sent %d ms, %d attempts, %s",
+                "%s %s at %s, %d ms, sent %d to %d ms, %d attempts, %s",
                 request.queryClass,
                 request.name,
                 request.broker,
                 request.timeLeftMs,
                 (request.sentAt - startedAt) / 1_000_000,
+                (request.writtenAt - startedAt) / 1_000_000,
                 request.attempts.get(),
                 request.end);
     }
--- a/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
@@ -268,6 +268,7 @@
     private boolean send(Connection connection, Request request, byte[] bytes, int from) {
         try {
             write(connection, bytes, from, bytes.length);
+            ledger.written(request);
             return true;
         } catch (IOException e) {
             ledger.excused(request, "not written");
--- a/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
@@ -136,9 +136,11 @@
         try (connection) {
             DataInputStream in = new DataInputStream(connection.getInputStream());
             Set<String> cancelled = ConcurrentHashMap.newKeySet();
+            long received = 0;
             while (true) {
                 int length = in.readInt();
                 byte[] frame = in.readNBytes(length);
+                received += Integer.BYTES + length;
                 String payload =
                         new String(
                                 frame,
@@ -146,7 +148,7 @@
                                 frame.length - 1,
                                 java.nio.charset.StandardCharsets.UTF_8);
                 switch (frame[0]) {
-                    case 'Q' -> onCall(parse(payload), connection, cancelled);
+                    case 'Q' -> onCall(parse(payload), connection, received, cancelled);
                     case 'X' -> cancelled.add(payload);
                     case 'P', 'L' -> {
                         if (mode != Mode.HANGING) {
@@ -184,7 +186,8 @@
         return parsed;
     }
 
-    private void onCall(List<ShardRequest> call, Socket connection, Set<String> cancelled)
+    private void onCall(
+            List<ShardRequest> call, Socket connection, long received, Set<String> cancelled)
             throws IOException {
         for (ShardRequest request : call) {
             ledger.attempt(
@@ -192,7 +195,7 @@
                     request.shard(),
                     request.toldMs(),
                     name,
-                    connection.getPort());
+                    new RequestLedger.Received(connection.getPort(), received));
             if (request.key() != null) {
                 ledger.runOnce(request.key(), request.shard());
             }
--- a/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
@@ -37,7 +37,9 @@
         /** A connection that the process opened breaks: ETIMEDOUT, EHOSTUNREACH or ECONNRESET. */
         BREAK_CONNECTION(8),
         /** A read from a socket ends with EINTR. */
-        INTERRUPT_READ(9);
+        INTERRUPT_READ(9),
+        /** A wait for events returns 30 ms late. */
+        DELAY_WAIT(10);
 
         private final int index;
 
@@ -51,8 +53,10 @@
     private static final int INJECTED_AT = WALL_OFFSET_AT + 8;
     private static final int READ_BY_PORT_AT = INJECTED_AT + 4 * MAX_FAULTS + 4 * 30;
     private static final int PORTS = 65_536;
-    private static final int WRITTEN_BY_PORT_AT = READ_BY_PORT_AT + 4 * PORTS;
-    private static final int CONTROL_BYTES = WRITTEN_BY_PORT_AT + 8 * PORTS;
+    private static final int WRITES_BY_PORT_AT = READ_BY_PORT_AT + 4 * PORTS;
+    private static final int WRITES = 16;
+    private static final int WRITE_BYTES = 16;
+    private static final int CONTROL_BYTES = WRITES_BY_PORT_AT + WRITE_BYTES * WRITES * PORTS;
     private static final int MAX_PERMILLE = 1_000;
 
     private final Path library;
@@ -153,10 +157,22 @@
     }
 
     /**
-     * Returns when the process last wrote to a connection that it opened from this port, by {@link
-     * System#nanoTime}; 0 if it never did.
+     * Returns when the process wrote the last of the first bytes of the connection that it opened
+     * from this port, by {@link System#nanoTime}; 0 if that is not known any more.
+     *
+     * @param bytes the number of those bytes, at least 1
      */
-    public long writtenAtNanos(int ownPort) {
-        return control.getLong(WRITTEN_BY_PORT_AT + 8 * ownPort);
+    public long writtenAtNanos(int ownPort, long bytes) {
+        long endOffset = Long.MAX_VALUE;
+        long writtenAt = 0;
+        for (int i = 0; i < WRITES; i++) {
+            int at = WRITES_BY_PORT_AT + WRITE_BYTES * (WRITES * ownPort + i);
+            long end = control.getLong(at);
+            if (end >= bytes && end < endOffset) {
+                endOffset = end;
+                writtenAt = control.getLong(at + 8);
+            }
+        }
+        return writtenAt;
     }
 }
--- a/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
+++ b/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
@@ -21,13 +22,21 @@
 
 enum fault {
     FAIL_ACCEPT, FAIL_SOCKET, FAIL_CONNECT, INTERRUPT_WAIT, SHORT_READ, SHORT_WRITE,
-    FAIL_FILE_WRITE, FAIL_FILE_SYNC, BREAK_CONNECTION, INTERRUPT_READ, FAULT_COUNT
+    FAIL_FILE_WRITE, FAIL_FILE_SYNC, BREAK_CONNECTION, INTERRUPT_READ, DELAY_WAIT, FAULT_COUNT
 };
 
 #define MAX_FAULTS 16
 #define PORTS 65536
 #define MAX_FDS 65536
 #define MAX_SHORT_BYTES 48
+#define WRITES 16
+#define WAIT_DELAY_MICROS 30000
+
+/* A write to a connection: how many bytes were written by then, and its time, CLOCK_MONOTONIC in ns. */
+struct write_record {
+    int64_t end_offset;
+    int64_t at_nanos;
+};
 
 struct control {
     volatile int32_t permille[MAX_FAULTS];
@@ -36,14 +45,16 @@
     volatile int32_t reserved[30];
     /* Bytes that the process has read from an accepted connection, by the port of the peer. */
     volatile uint32_t read_by_port[PORTS];
-    /* When the process last wrote to a connection that it opened, CLOCK_MONOTONIC in ns, by its port. */
-    volatile int64_t written_by_port[PORTS];
+    /* The latest writes to the connection that the process opened last from a port, by that port. */
+    volatile struct write_record writes_by_port[PORTS][WRITES];
 };
 
 static struct control *control;
 static uint16_t accepted_port[MAX_FDS];
 static uint8_t is_outgoing[MAX_FDS];
 static uint16_t outgoing_port[MAX_FDS];
+static int64_t written_bytes[MAX_FDS];
+static uint32_t write_count[MAX_FDS];
 static __thread uint64_t random_state;
 
 __attribute__((constructor)) static void attach(void) {
@@ -175,7 +186,11 @@
         errno = EINTR;
         return -1;
     }
-    return REAL(epoll_wait)(fd, events, count, timeout);
+    int ready = REAL(epoll_wait)(fd, events, count, timeout);
+    if (strikes(DELAY_WAIT)) {
+        usleep(WAIT_DELAY_MICROS);
+    }
+    return ready;
 }
 
 static void count_read(int fd, ssize_t bytes) {
@@ -231,10 +246,15 @@
         struct sockaddr_in own;
         socklen_t length = sizeof own;
         outgoing_port[fd] = getsockname(fd, (struct sockaddr *) &own, &length) == 0 ? ntohs(own.sin_port) : 0;
+        written_bytes[fd] = 0;
+        memset((void *) control->writes_by_port[outgoing_port[fd]], 0, sizeof control->writes_by_port[0]);
     }
     struct timespec now;
     clock_gettime(CLOCK_MONOTONIC, &now);
-    control->written_by_port[outgoing_port[fd]] = now.tv_sec * 1000000000LL + now.tv_nsec;
+    written_bytes[fd] += bytes;
+    volatile struct write_record *record = &control->writes_by_port[outgoing_port[fd]][write_count[fd]++ % WRITES];
+    record->at_nanos = now.tv_sec * 1000000000LL + now.tv_nsec;
+    record->end_offset = written_bytes[fd];
     return bytes;
 }
 
--- a/src/test/java/reeldeal/faultinjection/soak/RequestLedgerTest.java
+++ b/src/test/java/reeldeal/faultinjection/soak/RequestLedgerTest.java
@@ -9,6 +9,8 @@
 
 /** Tests that the soak's oracle finds each violation that it looks for. */
 public class RequestLedgerTest {
+    private static final RequestLedger.Received RECEIVED = new RequestLedger.Received(1, 100);
+
     private final RequestLedger ledger = new RequestLedger(new StallMonitor(), 100);
 
     private Request begin(int timeLeftMs) {
@@ -25,7 +27,7 @@
     @Test
     public void anAttemptInTimeIsNoViolation() {
         begin(500);
-        ledger.attempt("r", 3, 500, "s", 1);
+        ledger.attempt("r", 3, 500, "s", RECEIVED);
         assertEquals(List.of(), ledger.violations());
     }
 
@@ -33,21 +35,21 @@
     public void anAttemptAfterItsClientLeftIsLost() throws Exception {
         ledger.left(begin(5_000));
         Thread.sleep(200);
-        ledger.attempt("r", 3, 500, "s", 1);
+        ledger.attempt("r", 3, 500, "s", RECEIVED);
         assertBroken("lost");
     }
 
     @Test
     public void anAttemptThatNoClientAskedForIsVoid() {
         begin(500);
-        ledger.attempt("r", 4, 500, "s", 1);
+        ledger.attempt("r", 4, 500, "s", RECEIVED);
         assertBroken("void");
     }
 
     @Test
     public void aDeadlineBeyondTheClientsIsFound() {
         begin(500);
-        ledger.attempt("r", 3, 700, "s", 1);
+        ledger.attempt("r", 3, 700, "s", RECEIVED);
         assertBroken("deadline");
     }
 
