Keep a draining member registered while the record of a request is on its way

Cause: a client sent a keyed request late in a shutdown and left; its record was still being written, which did not count as unfinished, so the member deregistered. Change: writes in progress, and inputs that the store's loop has not handled, count as unfinished. The assertion that a write under way is finished stated the fault; the new test asserts the opposite, and that nothing is unfinished before and after.

--- a/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
+++ b/src/main/java/reeldeal/fleet/takeover/InFlightRequests.java
@@ -236,10 +236,11 @@
         return running.size() + waiting.size();
     }
 
-    /** Whether a run goes on, or a record of this broker does not show the end of its request. */
+    /** Whether a run or a write goes on, or an own record does not show the end of its request. */
     public boolean hasUnfinished() {
         return !running.isEmpty()
                 || !endedRuns.isEmpty()
+                || !writes.isEmpty()
                 || openRecords.values().stream().anyMatch(this::isOwn);
     }
 
--- a/src/main/java/reeldeal/fleet/takeover/PendingWrites.java
+++ b/src/main/java/reeldeal/fleet/takeover/PendingWrites.java
@@ -16,6 +16,10 @@
         return blockedUntil.containsKey(key);
     }
 
+    boolean isEmpty() {
+        return blockedUntil.isEmpty();
+    }
+
     /** Marks a write of a key as in progress; returns false if the key cannot be written now. */
     boolean tryBegin(String key, long now) {
         if (blockedUntil.getOrDefault(key, now) > now) {
--- a/src/main/java/reeldeal/takeover/RecordingSubmitter.java
+++ b/src/main/java/reeldeal/takeover/RecordingSubmitter.java
@@ -62,7 +62,6 @@
     private final QueryClassPolicies classPolicies;
     private final TakeoverConfig config;
     private final EventLoop loop;
-    private final EventLoop storeLoop;
     private final RequestRecordStore recordStore;
     private final BooleanSupplier holdsLease;
     private final Map<Long, WaitingClient> clients = new HashMap<>();
@@ -94,7 +93,6 @@
             Consumer<String> log) {
         this.broker = broker;
         this.loop = loop;
-        this.storeLoop = storeLoop;
         this.settings = settings;
         this.config = config;
         this.holdsLease = holdsLease;
@@ -233,7 +231,7 @@
                         isRequired);
         // Answers the client before its deadline even if there is no outcome yet.
         broker.schedule(Math.max(0, remainingMs - 2 * settings.tickMs()), () -> timeOut(id, key));
-        storeLoop.execute(
+        recordStore.execute(
                 () -> {
                     Failpoint.BEFORE_RECORD.reach();
                     recordStore.submit(keyedRequest);
@@ -243,7 +241,7 @@
     private void timeOut(long client, String key) {
         if (clients.containsKey(client)) {
             answer(client, new Reply.Failed("not known yet; ask again with the same key"));
-            storeLoop.execute(() -> recordStore.clientDisconnected(key, client));
+            recordStore.execute(() -> recordStore.clientDisconnected(key, client));
         }
     }
 
@@ -251,7 +249,7 @@
     public void clientDisconnected(long id) {
         WaitingClient client = clients.remove(id);
         if (client != null) {
-            storeLoop.execute(() -> recordStore.clientDisconnected(client.key(), id));
+            recordStore.execute(() -> recordStore.clientDisconnected(client.key(), id));
             endRunWithoutClients(client.key());
             return;
         }
@@ -435,6 +433,6 @@
     }
 
     private void reportEnd(String key, InFlightRequests.RunOutcome outcome, String text) {
-        storeLoop.execute(() -> recordStore.runEnded(key, outcome, text));
+        recordStore.execute(() -> recordStore.runEnded(key, outcome, text));
     }
 }
--- a/src/main/java/reeldeal/takeover/RequestRecordStore.java
+++ b/src/main/java/reeldeal/takeover/RequestRecordStore.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -83,6 +84,10 @@
 
     private final List<CommittedBatch> committedBatches = new ArrayList<>();
     private volatile boolean unfinished;
+
+    /** Inputs that wait for the store's loop; their requests count as unfinished. */
+    private final AtomicInteger queuedInputs = new AtomicInteger();
+
     private Runner runner;
     private boolean applyScheduled;
 
@@ -190,9 +195,25 @@
         return ownedKeys.contains(key);
     }
 
-    /** Whether records of this broker do not show the end of their requests. Thread-safe. */
+    /**
+     * Whether some request is not recorded as ended, or an input that may begin one is not handled.
+     * Thread-safe.
+     */
     boolean hasUnfinished() {
-        return unfinished;
+        return queuedInputs.get() > 0 || unfinished;
+    }
+
+    /** Runs a task with inputs of this store on the store's loop. Thread-safe. */
+    void execute(Runnable inputs) {
+        queuedInputs.incrementAndGet();
+        loop.execute(
+                () -> {
+                    try {
+                        inputs.run();
+                    } finally {
+                        queuedInputs.decrementAndGet();
+                    }
+                });
     }
 
     /** Increments a counter. Thread-safe. */
--- a/src/test/java/reeldeal/fleet/takeover/InFlightRequestsTest.java
+++ b/src/test/java/reeldeal/fleet/takeover/InFlightRequestsTest.java
@@ -91,7 +91,6 @@
         register();
         requests.submit(1_000, request(2, "may", false));
         assertEquals(List.of(Propose.class), actionTypes());
-        assertFalse(requests.hasUnfinished());
         requests.tick(1_250); // goes on without the record, whose write is under way
         requests.runEnded(1_300, "may", InFlightRequests.RunOutcome.DONE, "whole=true");
         assertTrue(requests.hasUnfinished());
@@ -105,6 +104,25 @@
         assertFalse(requests.hasUnfinished());
     }
 
+    @Test
+    public void aRecordOnItsWayIsUnfinishedThoughItsClientHasLeft() {
+        register();
+        assertFalse(requests.hasUnfinished());
+        requests.submit(1_000, request(2, "k", true));
+        assertEquals(List.of(Propose.class), actionTypes());
+        requests.clientDisconnected("k", 2);
+        assertTrue(requests.hasUnfinished());
+        recordCopy.put("k", open("k", "a", 1, 9_000));
+        requests.recordsChanged(1_400, List.of("k"));
+        requests.writeEnded(1_400, "k", true);
+        assertEquals(List.of(Propose.class), actionTypes());
+        recordCopy.remove("k");
+        requests.recordsChanged(1_500, List.of("k"));
+        assertTrue(requests.hasUnfinished());
+        requests.writeEnded(1_500, "k", true);
+        assertFalse(requests.hasUnfinished());
+    }
+
     @Test
     public void clientsStopWaitingForARecordAfterTheRecordTimeout() {
         register();
