Report the end of each client connection with its reason, and trace it

Change: every close states a CloseReason, which HttpServer reports with whether a request waited; -Dreeldeal.trace=true logs it. The delay of repeated bad requests moved out of ServerConnection into BadRequestDelay.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import reeldeal.sockets.EventLoopLag;
 import reeldeal.sockets.RetryingServerSocketChannel;
@@ -43,6 +44,7 @@
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final ConnectionTracker connectionTracker = new ConnectionTracker();
     private final EventLoopLag lag = new EventLoopLag();
+    private Consumer<ConnectionClosed> closeListener = closed -> {};
     private Channel listener;
     private boolean closing;
     private boolean keepIdle;
@@ -126,6 +128,11 @@
                 memory, handler, clock, SocketChannels.acceptDelayMs(channel), connectionTracker);
     }
 
+    /** Sets the recipient of the ends of connections. Called before {@link #listen}. */
+    public void setCloseListener(Consumer<ConnectionClosed> recipient) {
+        closeListener = recipient;
+    }
+
     /** Returns the address that the server listens on. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.localAddress();
@@ -153,7 +160,7 @@
     public void stopServing() {
         closing = true;
         for (ServerConnection connection : Set.copyOf(connections)) {
-            connection.closeIfUnused();
+            connection.closeIfUnused(CloseReason.SERVER_CLOSING);
         }
     }
 
@@ -223,7 +230,7 @@
         // The channel reports its close later. Until then this connection would be chosen again for
         // every new one.
         remove(leastUsed);
-        leastUsed.close();
+        leastUsed.close(CloseReason.EVICTED);
         return true;
     }
 
@@ -244,7 +251,7 @@
             }
         }
         if (!keepIdle && idleCount > Math.max(1, maxConnections / IDLE_DIVISOR)) {
-            longestIdle.closeIfUnused();
+            longestIdle.closeIfUnused(CloseReason.TOO_MANY_IDLE);
         }
     }
 
@@ -281,8 +288,9 @@
         }
 
         @Override
-        public void disconnected(ServerConnection connection) {
+        public void disconnected(ServerConnection connection, ConnectionClosed closed) {
             remove(connection);
+            closeListener.accept(closed);
         }
     }
 }
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -47,11 +47,6 @@
     /** The most bytes that are read and discarded on a connection before it is closed. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
-    /** The delay after consecutive bad requests grows by this much with each of them. */
-    private static final int BAD_REQUEST_DELAY_MS = 100;
-
-    private static final int MAX_BAD_REQUEST_DELAY_STEPS = 4;
-
     private static final Map<String, String> PLAIN_TEXT = Map.of("Content-Type", "text/plain");
     private static final byte[] CONTINUE = ascii("HTTP/1.1 100 Continue\r\n\r\n");
     private static final byte[] OVERLOADED = ascii("too much is being read\n");
@@ -73,7 +68,7 @@
         long lagMs();
 
         /** Reports that the connection's channel was closed. */
-        void disconnected(ServerConnection connection);
+        void disconnected(ServerConnection connection, ConnectionClosed closed);
     }
 
     private final MemoryBudget memory;
@@ -89,11 +84,13 @@
     private boolean ending; // no further request will be read
     private boolean delayedAfterBadRequests;
     private boolean closeScheduled;
+    private boolean closed;
     private int unwrittenResponses; // handed to the channel, but not yet to the system
     private long inactiveSince;
     private long requestStartedAt;
     private int discardedBytes;
-    private int consecutiveBadRequests;
+    private final BadRequestDelay badRequestDelay = new BadRequestDelay();
+    private CloseReason closeReason = CloseReason.CLIENT_LEFT;
 
     /** Creates a connection that may have waited {@code acceptDelayMs} to be accepted. */
     ServerConnection(
@@ -162,7 +159,11 @@
         memory.adjust(-parser.bufferedBytes());
     }
 
-    void close() {
+    /** Closes the connection at once. The first reason counts. */
+    void close(CloseReason reason) {
+        if (closeReason == CloseReason.CLIENT_LEFT) {
+            closeReason = reason;
+        }
         context.close();
     }
 
@@ -171,19 +172,22 @@
      * arrived. Bytes that cross the close stay unread: a request that was read must be answered,
      * and one that was not read may be sent again on another connection.
      */
-    void closeIfUnused() {
+    void closeIfUnused(CloseReason reason) {
         if (!closeScheduled) {
             closeScheduled = true;
-            context.executor()
-                    .schedule(this::closeIfStillUnused, CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
+            schedule(() -> closeIfStillUnused(reason), CLOSE_DELAY_MS);
         }
     }
 
-    private void closeIfStillUnused() {
+    private void schedule(Runnable task, long delayMs) {
+        context.executor().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIfStillUnused(CloseReason reason) {
         closeScheduled = false;
         if (isUnused()) {
             ending = true;
-            context.close();
+            close(reason);
         }
     }
 
@@ -214,7 +218,7 @@
         boolean inMessage = parser.inMessage();
         if (ending || !context.channel().isWritable()) {
             if (now - inactiveSince >= UNREAD_RESPONSE_TIMEOUT_MS) {
-                context.close();
+                close(CloseReason.UNREAD_RESPONSE);
             }
         } else if (inMessage && now >= requestDeadline()) {
             reject(408, REQUEST_TIMEOUT);
@@ -222,7 +226,7 @@
                 && !(hadRequest && keepIdle)
                 && now - inactiveSince
                         >= (hadRequest ? IDLE_TIMEOUT_MS : FIRST_REQUEST_TIMEOUT_MS)) {
-            closeIfUnused();
+            closeIfUnused(CloseReason.IDLE);
         }
     }
 
@@ -240,7 +244,7 @@
         if (listener.admit(this)) {
             memory.adjust(parser.bufferedBytes());
         } else {
-            ctx.close();
+            close(CloseReason.NO_PLACE);
         }
     }
 
@@ -279,7 +283,7 @@
         discardedBytes += in.readableBytes();
         in.release();
         if (discardedBytes > MAX_DISCARDED_BYTES && currentExchange == null) {
-            context.close();
+            close(CloseReason.INPUT_AFTER_END);
         }
     }
 
@@ -292,9 +296,16 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        listener.disconnected(this);
+        if (closed) {
+            return;
+        }
+        closed = true;
         PendingExchange unanswered = currentExchange;
         currentExchange = null;
+        listener.disconnected(
+                this,
+                new ConnectionClosed(
+                        ctx.channel().remoteAddress(), closeReason, unanswered != null));
         if (unanswered != null) {
             unanswered.disconnected();
         }
@@ -303,7 +314,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // An exception ends only this connection; other connections are not affected.
-        ctx.close();
+        close(CloseReason.FAILED);
     }
 
     // ---- requests ----
@@ -391,24 +402,13 @@
         inactiveSince = clock.getAsLong();
         requestStartedAt = inactiveSince;
         listener.responseWritten();
-        consecutiveBadRequests = isBadRequest(status) ? consecutiveBadRequests + 1 : 0;
-        if (consecutiveBadRequests <= 1) {
+        long delayMs = badRequestDelay.afterResponse(status);
+        if (delayMs == 0) {
             context.executor().execute(this::resume);
-            return;
+        } else {
+            delayedAfterBadRequests = true;
+            schedule(this::resume, delayMs);
         }
-        // A client that repeats bad requests must not take processing time from other clients.
-        delayedAfterBadRequests = true;
-        int delaySteps = Math.min(consecutiveBadRequests - 1, MAX_BAD_REQUEST_DELAY_STEPS);
-        context.executor()
-                .schedule(
-                        this::resume,
-                        (long) BAD_REQUEST_DELAY_MS * delaySteps,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    /** Whether the client caused the status: not so for a conflict (409) or load shedding (429). */
-    private static boolean isBadRequest(int status) {
-        return status >= 400 && status < 500 && status != 409 && status != 429;
     }
 
     private void resume() {
@@ -427,14 +427,14 @@
      */
     private void endAfter(ChannelFuture written, boolean discardsInput) {
         ending = true;
+        closeReason = CloseReason.LAST_RESPONSE;
         inactiveSince = clock.getAsLong();
         setAutoRead(discardsInput);
         int lingerMs = discardsInput ? LINGER_MS : UNREAD_LINGER_MS;
         written.addListener(
                 future -> {
                     ((SocketChannel) context.channel()).shutdownOutput();
-                    context.executor()
-                            .schedule(() -> context.close(), lingerMs, TimeUnit.MILLISECONDS);
+                    schedule(() -> close(CloseReason.LAST_RESPONSE), lingerMs);
                 });
     }
 
@@ -445,7 +445,7 @@
                         future -> {
                             unwrittenResponses--;
                             if (listener.isServerClosing()) {
-                                closeIfUnused();
+                                closeIfUnused(CloseReason.SERVER_CLOSING);
                             }
                         });
     }
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -136,6 +136,7 @@
                 new PlatformFront(submitter, config.settings(), config.classes(), config.shards());
         HttpServer platform =
                 new HttpServer(config.maxSockets() / 2, MAX_BUFFERED_BYTES, front::accept);
+        platform.setCloseListener(this::trace);
         servers.add(platform);
         loop.submit(
                         () -> {
@@ -172,6 +173,7 @@
                                             config.search(),
                                             config.name())
                                     ::accept);
+            search.setCloseListener(this::trace);
             servers.add(search);
             StartupRetry.call(
                     "search front: listening",
@@ -380,10 +382,10 @@
                 && servers.stream().allMatch(server -> server.openConnections() == 0);
     }
 
-    /** Logs an event or effect with its request's id, reason and time, if tracing is on. */
-    private void trace(Record eventOrEffect) {
+    /** Logs an event, an effect or the end of a connection with its time, if tracing is on. */
+    private void trace(Record happened) {
         if (TRACING) {
-            log(clock.now() + " " + eventOrEffect);
+            log(clock.now() + " " + happened);
         }
     }
 
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -1,6 +1,7 @@
 package reeldeal.http;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
@@ -34,6 +35,7 @@
 
     private final AtomicLong now = new AtomicLong();
     private final BlockingQueue<Exchange> unanswered = new LinkedBlockingQueue<>();
+    private final BlockingQueue<ConnectionClosed> closes = new LinkedBlockingQueue<>();
     private final CountDownLatch disconnected = new CountDownLatch(1);
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final HttpServer server =
@@ -59,6 +61,7 @@
 
     @Before
     public void listen() throws Exception {
+        server.setCloseListener(closes::add);
         server.listen(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
     }
 
@@ -448,6 +451,37 @@
         }
     }
 
+    @Test
+    public void theEndOfAConnectionIsReportedWithItsReason() throws Exception {
+        client().close();
+        assertEquals(CloseReason.CLIENT_LEFT, nextClose().reason());
+        try (Socket client = client()) {
+            write(client, "GET /later HTTP/1.1\r\n\r\n");
+            unanswered.take();
+        }
+        ConnectionClosed left = nextClose();
+        assertEquals(CloseReason.CLIENT_LEFT, left.reason());
+        assertTrue(left.unanswered());
+        try (Socket client = client()) {
+            write(client, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+            client.getInputStream().readAllBytes();
+        }
+        assertEquals(CloseReason.LAST_RESPONSE, nextClose().reason());
+        try (Socket client = client()) {
+            write(client, "GET / HTTP/1.1\r\n\r\n");
+            readStatus(client);
+            awaitOpenConnections(1); // the server has handled its response
+            advanceClockAndSweep(4_000);
+            assertEquals(CloseReason.IDLE, nextClose().reason());
+        }
+    }
+
+    private ConnectionClosed nextClose() throws InterruptedException {
+        ConnectionClosed closed = closes.poll(20, TimeUnit.SECONDS);
+        assertNotNull("no end was reported", closed);
+        return closed;
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
