Excuse in the soak no request whose own time ends before the kill

Cause: every request that came within 0.7 s of SIGTERM was excused when the kill found it unanswered, also one whose time was over long before. Change: such a request is excused only if its own time, plus 50 ms, reaches to the kill.

--- a/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
@@ -20,6 +20,12 @@
     /** How long after SIGTERM clients still open connections, ms. */
     private static final long NEW_CONNECTIONS_MS = 300;
 
+    /** Requests that came this long after SIGTERM must be answered before SIGKILL, ms. */
+    private static final long LATE_REQUEST_MS = 700;
+
+    /** How long after a request's time its answer may be on its way, ms. */
+    private static final long ANSWER_MS = 50;
+
     private static final int CLOSE_TIMEOUT_S = 10;
 
     final String name;
@@ -134,12 +140,17 @@
         return killedAt != 0;
     }
 
-    /** Whether SIGKILL may find this request unanswered: it came before the last requests did. */
-    boolean excusesUnanswered(long sentAtNanos, long countedFromMs) {
-        if (killedAt == 0) {
-            return false;
+    /**
+     * Whether SIGKILL may find a request unanswered: it came without SIGTERM, or before the last
+     * requests did and the request's own time reaches to it.
+     */
+    boolean excusesUnanswered(long sentAtNanos, long timeLeftMs) {
+        long killed = killedAt;
+        if (killed == 0 || terminatedAt == 0) {
+            return killed != 0;
         }
-        return terminatedAt == 0 || sentAtNanos < terminatedAt + countedFromMs * 1_000_000L;
+        long dueAtNanos = sentAtNanos + (timeLeftMs + ANSWER_MS) * 1_000_000L;
+        return sentAtNanos < terminatedAt + LATE_REQUEST_MS * 1_000_000L && dueAtNanos > killed;
     }
 
     /** Returns the ms from SIGTERM to the end of the process, or a negative number. */
--- a/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakClient.java
@@ -60,9 +60,6 @@
     private static final int MIN_TIME_LEFT_MS = 200;
     private static final int RETRY_MS = 20;
 
-    /** Requests that came this long after SIGTERM, ms, must be answered before the kill. */
-    private static final long COUNTED_FROM_MS = 700;
-
     /** The time in which a client that stops in the middle gets an error or a close, ms. */
     private static final int BAD_CLIENT_MS = 3_050;
 
@@ -281,7 +278,7 @@
         try {
             response = read(connection, request.lostAt());
         } catch (SocketTimeoutException e) {
-            if (broker.excusesUnanswered(request.sentAt, COUNTED_FROM_MS)) {
+            if (broker.excusesUnanswered(request.sentAt, request.timeLeftMs)) {
                 ledger.excused(request, RequestLedger.KILLED);
             } else {
                 ledger.lost(request, "no answer in time, " + readState(connection));
@@ -303,7 +300,7 @@
         if (request.endedAt != 0) {
             return;
         }
-        if (broker.excusesUnanswered(request.sentAt, COUNTED_FROM_MS)) {
+        if (broker.excusesUnanswered(request.sentAt, request.timeLeftMs)) {
             ledger.excused(request, RequestLedger.KILLED);
         } else if (unreadBytes(connection) > 0 && request.attempts.get() == 0) {
             ledger.excused(request, "unread");
