Delete no more values in the heap test than its refused write needs

Cause: on each refusal StoreHeapProgram deleted up to 16 values. The bound stays; the store stays fuller, so the check of the heap is harder.

--- a/src/test/java/reeldeal/store/StoreHeapProgram.java
+++ b/src/test/java/reeldeal/store/StoreHeapProgram.java
@@ -122,7 +122,7 @@
                 if (++attempts > ATTEMPTS) {
                     throw new IllegalStateException("refused for good");
                 }
-                deleteSome();
+                deleteSome(Math.min(MAX_DELETIONS, batch.size()));
             }
         }
     }
@@ -137,8 +137,8 @@
     }
 
     /** Deletes some values, or waits if that is refused too, as the log has to be compacted. */
-    private void deleteSome() throws Exception {
-        List<String> keys = loop.next().submit(() -> node.keysUnder(PREFIX, MAX_DELETIONS)).get();
+    private void deleteSome(int deletions) throws Exception {
+        List<String> keys = loop.next().submit(() -> node.keysUnder(PREFIX, deletions)).get();
         if (!write(keys.stream().map(key -> new Change(key, null)).toList())) {
             Thread.sleep(RETRY_MS);
         }
