Count attempts whose stated time was computed too long before they reached the socket

Cause: a broker that is halted between computing the time that is left and writing tells its searcher too much, and nothing at run time showed it. Change: RequestGuard counts and logs STATED_TIME_TOO_OLD beyond 150 ms, the slack of the told deadline.

--- a/src/main/java/reeldeal/core/RequestGuard.java
+++ b/src/main/java/reeldeal/core/RequestGuard.java
@@ -33,6 +33,8 @@
         SENT_AFTER_END,
         /** An attempt reached the socket too long after its deadline, which it states. */
         SENT_AFTER_DEADLINE,
+        /** The time that an attempt states was computed too long before it reached the socket. */
+        STATED_TIME_TOO_OLD,
         /** The process ends although a client waits for its answer. */
         UNANSWERED_AT_EXIT
     }
@@ -43,6 +45,9 @@
     /** How long after its deadline an attempt may still reach the socket. */
     private static final double MAX_AFTER_DEADLINE_MS = 150;
 
+    /** How long before an attempt reaches the socket the time that it states may be computed. */
+    private static final double MAX_STATED_TIME_AGE_MS = 150;
+
     /** How long the end of a request is remembered for the check of what was sent. */
     private static final double ENDED_RETENTION_MS = 5_000;
 
@@ -119,12 +124,15 @@
     }
 
     @Override
-    public void sent(Effect.Send send) {
+    public void sent(Effect.Send send, double encodedAtMs) {
         double now = clock.getAsDouble();
         Double ended = endedAtMs.get(send.request().id());
         if (ended != null && now - ended > MAX_AFTER_END_MS) {
             violated(Violation.SENT_AFTER_END, describe(send));
         }
+        if (now - encodedAtMs > MAX_STATED_TIME_AGE_MS) {
+            violated(Violation.STATED_TIME_TOO_OLD, describe(send));
+        }
         if (now - send.deadlineMs() > MAX_AFTER_DEADLINE_MS) {
             violated(Violation.SENT_AFTER_DEADLINE, describe(send));
         }
--- a/src/main/java/reeldeal/core/SendGuard.java
+++ b/src/main/java/reeldeal/core/SendGuard.java
@@ -7,6 +7,11 @@
     /** Whether an attempt may be written now; tested immediately before each write. */
     boolean maySend(Effect.Send send);
 
-    /** Reports that the system has taken an attempt completely. */
-    default void sent(Effect.Send send) {}
+    /**
+     * Reports that the system has taken an attempt completely.
+     *
+     * @param encodedAtMs when the remaining time that the attempt states was computed, ms of the
+     *     broker's clock
+     */
+    default void sent(Effect.Send send, double encodedAtMs) {}
 }
--- a/src/main/java/reeldeal/searchers/ConnectionPool.java
+++ b/src/main/java/reeldeal/searchers/ConnectionPool.java
@@ -231,8 +231,8 @@
         }
 
         @Override
-        public void sent(Effect.Send send) {
-            guard.sent(send);
+        public void sent(Effect.Send send, double encodedAtMs) {
+            guard.sent(send, encodedAtMs);
         }
 
         @Override
--- a/src/main/java/reeldeal/searchers/SearcherConnection.java
+++ b/src/main/java/reeldeal/searchers/SearcherConnection.java
@@ -46,7 +46,7 @@
         boolean maySend(Effect.Send send);
 
         /** Called when the socket has taken all bytes of an attempt. */
-        void sent(Effect.Send send);
+        void sent(Effect.Send send, double encodedAtMs);
 
         /**
          * Called when an attempt has ended. {@code loadReport} is the searcher's unparsed load
@@ -207,7 +207,7 @@
         for (PendingAttempt attempt : written) {
             attempt.flushed |= success;
             if (success) {
-                listener.sent(attempt.send);
+                listener.sent(attempt.send, attempt.writtenAt);
             }
         }
     }
--- a/src/test/java/reeldeal/core/RequestGuardTest.java
+++ b/src/test/java/reeldeal/core/RequestGuardTest.java
@@ -50,12 +50,12 @@
         guard.opened(request);
         guard.ended(1);
         now = 100;
-        guard.sent(send(400));
+        guard.sent(send(400), now);
         assertEquals(Map.of(), guard.violations());
         now = 101;
-        guard.sent(send(400));
+        guard.sent(send(400), now);
         now = 651;
-        guard.sent(send(400));
+        guard.sent(send(400), now);
         assertEquals(
                 Map.of(
                         RequestGuard.Violation.SENT_AFTER_END, 2,
@@ -79,4 +79,14 @@
         assertFalse(guard.maySend(send(400)));
         assertEquals(Map.of(RequestGuard.Refusal.REQUEST_ENDED, 1), guard.refusals());
     }
+
+    @Test
+    public void anAttemptWhoseStatedTimeIsOldIsCounted() {
+        guard.opened(request);
+        now = 151;
+        guard.sent(send(400), 1);
+        assertEquals(Map.of(), guard.violations());
+        guard.sent(send(400), 0.5);
+        assertEquals(Map.of(RequestGuard.Violation.STATED_TIME_TOO_OLD, 1), guard.violations());
+    }
 }
