--- a/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -54,7 +54,7 @@
     private static final int MEAN_SHARDS = 3;
 
     /** How busy warm searchers are. */
-    private static final double UTILIZATION = 0.5;
+    private static final double UTILIZATION = 0.9;
 
     private static final int HOUR_MS = 3_600_000;
 
