Bound the reading of delayed input, and compute the stated time right before the write

Cause: while the loop is late every send read all connections with open requests, so the reads grew with both numbers; and the time that an attempt states was computed before those reads. Change: the connections are read every 10 ms at most, and the stated time is computed after the guard has decided. Result: HttpServerTest's new test passes, with all of HttpServerTest, ConnectionPoolTest and SystemCallFaultTest.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -31,6 +31,9 @@
     private static final int SWEEP_INTERVAL_MS = 250;
     private static final int MAX_READS_AT_ONCE = 16;
 
+    /** Bounds the share of a late loop's time that reading delayed input takes. */
+    private static final long INPUT_READ_INTERVAL_NANOS = 10_000_000;
+
     /** How long a failing accept is tried again when the server stops listening. */
     private static final int MAX_ACCEPT_RETRY_MS = 300;
 
@@ -46,6 +49,8 @@
     private final EventLoopLag lag = new EventLoopLag();
     private Consumer<ConnectionClosed> closeListener = closed -> {};
     private Channel listener;
+    private boolean inputWasRead;
+    private long inputReadAt; // nanoTime of the last read of delayed input
     private boolean closing;
     private boolean keepIdle;
 
@@ -166,11 +171,15 @@
 
     /**
      * Reads the connections of unanswered requests if the event loop is late, so that a client that
-     * has left is noticed before more is done for it.
+     * has left is noticed before more is done for it. Does nothing if they were read a moment ago.
      */
     public void readDelayedInput() {
-        if (lag.lagMs() > 0) {
+        long now = System.nanoTime();
+        boolean isRecent = inputWasRead && now - inputReadAt < INPUT_READ_INTERVAL_NANOS;
+        if (lag.lagMs() > 0 && !isRecent) {
             Set.copyOf(connections).forEach(ServerConnection::readWhileUnanswered);
+            inputWasRead = true;
+            inputReadAt = System.nanoTime();
         }
     }
 
--- a/src/main/java/reeldeal/searchers/SearcherConnection.java
+++ b/src/main/java/reeldeal/searchers/SearcherConnection.java
@@ -186,13 +186,14 @@
         if (sends.isEmpty()) {
             return;
         }
+        double encodedAt = clock.getAsDouble();
         List<PendingAttempt> written = new ArrayList<>(sends.size());
         for (Effect.Send send : sends) {
             PendingAttempt attempt = pending.get(FrameCodec.wireName(send));
-            attempt.writtenAt = now;
+            attempt.writtenAt = encodedAt;
             written.add(attempt);
         }
-        ChannelFuture writing = channel.writeAndFlush(FrameCodec.encodeCall(sends, now));
+        ChannelFuture writing = channel.writeAndFlush(FrameCodec.encodeCall(sends, encodedAt));
         writing.addListener(future -> onWritten(written, future.isSuccess()));
         if (!writing.isDone()) {
             channel.eventLoop()
--- a/src/test/java/reeldeal/http/HttpServerTest.java
+++ b/src/test/java/reeldeal/http/HttpServerTest.java
@@ -431,6 +431,26 @@
         }
     }
 
+    @Test
+    public void aBusyServerReadsItsClientsOnlyOnceInAMoment() throws Exception {
+        try (Socket client = client()) {
+            write(client, "GET /later HTTP/1.1\r\n\r\n");
+            unanswered.take();
+            Future<Long> open =
+                    group.next()
+                            .submit(
+                                    () -> {
+                                        Thread.sleep(BUSY_MS);
+                                        server.readDelayedInput();
+                                        client.close();
+                                        server.readDelayedInput();
+                                        return disconnected.getCount();
+                                    });
+            assertEquals(1, (long) open.get());
+            assertTrue(disconnected.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     public void theWaitForABusyServerCountsAsTimeOfTheRequest() throws Exception {
         try (Socket client = client()) {
