--- a/review/src-2/review2/Lab.java
+++ b/review/src-2/review2/Lab.java
@@ -42,6 +42,16 @@
     private final long startNanos = System.nanoTime();
     private int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() * 97 % PORTS);
 
+    static {
+        // An exception of the case itself says nothing about the rule; Java would exit with 1.
+        Thread.currentThread()
+                .setUncaughtExceptionHandler(
+                        (thread, cause) -> {
+                            cause.printStackTrace();
+                            System.exit(COULD_NOT_RUN);
+                        });
+    }
+
     Lab(String caseFolder) throws IOException {
         this.caseFolder = Path.of(caseFolder);
         folder = Files.createTempDirectory("review-2-");
