Keep an abandoned shard request in flight until its _msearch call has ended

Cause: OpenSearchTransport.abandon reported the end of an attempt at once but closed the connection only when no shard request of the call was pending. The format cannot give up one search of a written call, so the searcher kept it while the core sent the shard request elsewhere.

Change: a shard request that is given up stays in flight until its call is answered, or nothing on the connection is needed and it is closed. AttemptCanceller cancels the attempts of a call together where a searcher can cancel only whole calls, and none if another must not be repeated or the retry budget does not cover them.

--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -26,6 +26,7 @@
     private static final double[] NO_LOAD_REPORT = new double[0];
 
     private final Settings settings;
+    private final Set<String> wholeCallKinds;
     private final DecisionEngine engine;
     private final SendRules sendRules;
     private final RequestTable requests = new RequestTable();
@@ -50,10 +51,17 @@
      * @param settings settings of the decision module
      * @param zones names of the zones, in the order of their indexes in the settings
      * @param kinds names of the kinds of searchers, in the order of their indexes in the settings
+     * @param wholeCallKinds the kinds of searchers whose protocol can abandon only whole calls
      */
-    public Reducer(double now, Settings settings, List<String> zones, List<String> kinds) {
+    public Reducer(
+            double now,
+            Settings settings,
+            List<String> zones,
+            List<String> kinds,
+            Set<String> wholeCallKinds) {
         this.now = now;
         this.settings = settings;
+        this.wholeCallKinds = Set.copyOf(wholeCallKinds);
         this.engine = new DecisionEngine(now, settings, this);
         this.sendRules = new SendRules(settings);
         this.searchers = new SearcherDirectory(zones, kinds);
@@ -320,6 +328,12 @@
         }
     }
 
+    @Override
+    public boolean cancelsWholeCalls(long server) {
+        Searcher searcher = searchers.find(server);
+        return searcher != null && wholeCallKinds.contains(searcher.kind());
+    }
+
     @Override
     public void answer(long query, boolean complete) {
         PendingRequest pending = requests.find(query);
--- a/src/main/java/reeldeal/decision/DecisionEngine.java
+++ b/src/main/java/reeldeal/decision/DecisionEngine.java
@@ -27,6 +27,7 @@
     private final RetryBudget retryBudget;
     private final RetryPolicy retryPolicy;
     private final HedgingPolicy hedgingPolicy;
+    private final AttemptCanceller canceller;
     private final ReplicaSelector replicaSelector;
     private final TenantQuotas tenantQuotas;
     private final AdmissionController admissionController;
@@ -62,6 +63,7 @@
         retryBudget = new RetryBudget(clock, rules, settings.layout(), latencyObjectiveMs, log);
         retryPolicy = new RetryPolicy(clock, settings);
         hedgingPolicy = new HedgingPolicy(clock, registry, latency, outliers, limits.hedging());
+        canceller = new AttemptCanceller(actions, retryPolicy);
         WaitEstimator waitEstimator =
                 new WaitEstimator(clock, latencyObjectiveMs, registry, latency, slowStart, queries);
         AttemptSender sender =
@@ -279,7 +281,7 @@
                 chosen.add(shardRequest);
             } else if (retryPolicy.mayAttempt(shardRequest)
                     && (idle ? retries : hedges) > 0
-                    && (idle || hedgeOrCancel(shardRequest))) {
+                    && (idle || hedgeOrCancel(shardRequest, retries))) {
                 chosen.add(shardRequest);
                 retries--;
                 hedges--;
@@ -303,18 +305,16 @@
      * Returns whether a shard request is overdue and gets a hedged request. If hedging is off, the
      * last attempt is cancelled instead, and the outcome of the cancellation triggers the retry.
      */
-    private boolean hedgeOrCancel(ShardRequestState shardRequest) {
+    private boolean hedgeOrCancel(ShardRequestState shardRequest, int retries) {
         if (!hedgingPolicy.isOverdue(shardRequest)) {
             return false;
         }
         if (settings.limits().hedging()) {
             return true;
         }
-        int lastNumber = shardRequest.attempts.size() - 1;
-        Attempt attempt = shardRequest.attempts.get(lastNumber);
-        if (settings.limits().cancel() && !attempt.cancelled) {
-            attempt.cancelled = true;
-            actions.cancel(shardRequest.request.id(), lastNumber);
+        if (settings.limits().cancel()) {
+            int lastNumber = shardRequest.attempts.size() - 1;
+            canceller.cancel(shardRequest.attempts.get(lastNumber), retries);
         }
         return false;
     }
--- a/src/main/java/reeldeal/decision/DecisionModule.java
+++ b/src/main/java/reeldeal/decision/DecisionModule.java
@@ -367,9 +367,17 @@
          */
         void send(long shardRequest, long server, double timeoutMs);
 
-        /** Stops waiting for an attempt; the event with its outcome follows. */
+        /**
+         * Stops waiting for an attempt. The event with its outcome follows; if the server {@link
+         * #cancelsWholeCalls}, not before no attempt of its call is in flight.
+         */
         void cancel(long shardRequest, int attemptNumber);
 
+        /** Returns whether a server can cancel a call only as a whole. */
+        default boolean cancelsWholeCalls(long server) {
+            return false;
+        }
+
         /** Answers a query from the shard requests answered so far, and ends its phase. */
         void answer(long query, boolean complete);
 
--- a/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
+++ b/src/main/java/reeldeal/opensearch/OpenSearchTransport.java
@@ -22,8 +22,9 @@
 /**
  * The transport to searchers that serve OpenSearch's format. Each call has a connection of its own:
  * a response does not show to which call it belongs, so that on a connection with several calls a
- * repeated response would be taken as the response to the next call. A call is abandoned by closing
- * its connection once none of its shard requests is pending. Runs on the broker's event loop.
+ * repeated response would be taken as the response to the next call. The format cannot abandon one
+ * shard request of a written call: an abandoned one stays in flight until the call is answered, or
+ * none of its others is needed and its connection is closed. Runs on the broker's event loop.
  */
 public final class OpenSearchTransport implements SearcherTransport {
     private static final int MAX_CONNECTIONS_PER_SEARCHER = 8;
@@ -62,13 +63,33 @@
         this.events = events;
     }
 
+    /** A shard request of a call that has not ended. */
+    private static final class PendingSend {
+        final Effect.Send send;
+        boolean withdrawn; // its request has ended
+        boolean abandoned; // the broker no longer waits for its answer
+        boolean timedOut;
+
+        PendingSend(Effect.Send send) {
+            this.send = send;
+        }
+
+        boolean isAttempt(long shardRequestId, int attempt) {
+            return send.shardRequestId() == shardRequestId && send.attempt() == attempt;
+        }
+
+        boolean isNeeded() {
+            return !withdrawn && !abandoned;
+        }
+    }
+
     /** The connection of one call or probe, and the shard requests of the call. */
     private final class Connection {
         final HttpClient client;
         final String address;
 
-        /** The shard requests of the call; null replaces each whose end was already reported. */
-        List<Effect.Send> pending = new ArrayList<>();
+        /** The shard requests of the call that have not ended, in the order of the call. */
+        List<PendingSend> pending = new ArrayList<>();
 
         boolean bodyWritten; // whether the call's body was handed to the socket
 
@@ -81,31 +102,19 @@
             client = new HttpClient(group, socketAddress, connectTimeoutMs);
         }
 
-        /** Returns the position of an attempt among the pending shard requests, or -1. */
-        int indexOf(long shardRequestId, int attempt) {
-            for (int i = 0; i < pending.size(); i++) {
-                Effect.Send send = pending.get(i);
-                if (send != null
-                        && send.shardRequestId() == shardRequestId
-                        && send.attempt() == attempt) {
-                    return i;
+        /** Returns the pending shard request with this attempt, or null. */
+        PendingSend find(long shardRequestId, int attempt) {
+            for (PendingSend candidate : pending) {
+                if (candidate.isAttempt(shardRequestId, attempt)) {
+                    return candidate;
                 }
             }
-            return -1;
+            return null;
         }
 
-        /** Removes a pending shard request; the positions of the others stay the same. */
-        Effect.Send remove(int index) {
-            return pending.set(index, null);
-        }
-
-        boolean hasPending() {
-            for (Effect.Send send : pending) {
-                if (send != null) {
-                    return true;
-                }
-            }
-            return false;
+        boolean isAbandoned() {
+            return pending.stream().noneMatch(PendingSend::isNeeded)
+                    && pending.stream().anyMatch(pendingSend -> pendingSend.abandoned);
         }
     }
 
@@ -122,9 +131,9 @@
             return;
         }
         double now = clock.getAsDouble();
-        connection.pending = new ArrayList<>(call.sends());
         double longestMs = 0;
         for (Effect.Send send : call.sends()) {
+            connection.pending.add(new PendingSend(send));
             longestMs = Math.max(longestMs, send.remainingMs(now));
         }
         connection.client.call(
@@ -143,33 +152,41 @@
     private byte[] body(Connection connection) {
         double now = clock.getAsDouble();
         List<Effect.Send> sends = new ArrayList<>();
-        for (Effect.Send send : connection.pending) {
-            if (send == null) {
-                continue;
-            }
+        for (PendingSend pendingSend : List.copyOf(connection.pending)) {
+            Effect.Send send = pendingSend.send;
             if (send.mayBeWritten(now) && guard.maySend(send)) {
                 sends.add(send);
             } else {
+                connection.pending.remove(pendingSend);
                 reportEnd(send, new AttemptEnd.NeverSent());
             }
         }
-        connection.pending = sends;
         connection.bodyWritten = true;
         return sends.isEmpty() ? null : OpenSearchCodec.encodeCall(sends, now);
     }
 
     private void onCallEnd(Connection connection, HttpClient.Result result) {
-        List<Effect.Send> pending = connection.pending;
+        List<PendingSend> pending = connection.pending;
         connection.pending = new ArrayList<>();
         release(connection);
         CallEnd callEnd = toCallEnd(result, pending.size());
         for (int i = 0; i < pending.size(); i++) {
-            if (pending.get(i) != null) {
-                reportEnd(pending.get(i), callEnd.forIndex(i));
-            }
+            PendingSend ended = pending.get(i);
+            boolean isAbandoned = !ended.isNeeded() && result instanceof HttpClient.NoResponse;
+            reportEnd(
+                    ended.send,
+                    isAbandoned
+                            ? new AttemptEnd.Abandoned(reach(result), ended.timedOut)
+                            : callEnd.forIndex(i));
         }
     }
 
+    private static Reach reach(HttpClient.Result result) {
+        boolean unsent =
+                result instanceof HttpClient.NoResponse noResponse && !noResponse.written();
+        return unsent ? Reach.UNSENT : Reach.SENT;
+    }
+
     /**
      * The end of a call.
      *
@@ -189,8 +206,7 @@
 
     private static CallEnd toCallEnd(HttpClient.Result result, int shardRequests) {
         if (result instanceof HttpClient.NoResponse noResponse) {
-            Reach reach = noResponse.written() ? Reach.SENT : Reach.UNSENT;
-            return CallEnd.ofAll(new AttemptEnd.Broken(reach, noResponse.reason()));
+            return CallEnd.ofAll(new AttemptEnd.Broken(reach(result), noResponse.reason()));
         }
         HttpClient.Responded responded = (HttpClient.Responded) result;
         int status = responded.message().status();
@@ -220,27 +236,40 @@
     @Override
     public void abandon(Effect.Abandon abandon) {
         for (Connection connection : connections()) {
-            int index = connection.indexOf(abandon.shardRequestId(), abandon.attempt());
-            if (index >= 0) {
-                Reach reach = connection.client.isWritten() ? Reach.SENT : Reach.UNSENT;
-                Effect.Send send = connection.remove(index);
-                if (!connection.hasPending() || reach == Reach.UNSENT) {
-                    // Closing the connection keeps an unsent call from being sent later; its other
-                    // shard requests end as unsent too.
-                    connection.client.close();
-                }
-                reportEnd(send, new AttemptEnd.Abandoned(reach, abandon.timedOut()));
-                return;
+            PendingSend abandoned = connection.find(abandon.shardRequestId(), abandon.attempt());
+            if (abandoned != null && !abandoned.abandoned) {
+                abandoned.abandoned = true;
+                abandoned.timedOut = abandon.timedOut();
+                closeIfAbandoned(connection);
             }
         }
     }
 
+    /**
+     * Ends a call of which nothing is needed, or of which something is abandoned before it was
+     * completely written: then its other shard requests end as unsent.
+     */
+    private static void closeIfAbandoned(Connection connection) {
+        if (!connection.client.isWritten() || connection.isAbandoned()) {
+            connection.client.close();
+        }
+    }
+
     @Override
     public void withdraw(Effect.Withdraw withdraw) {
         for (Connection connection : connections()) {
-            int index = connection.indexOf(withdraw.shardRequestId(), withdraw.attempt());
-            if (index >= 0 && !connection.bodyWritten) {
-                reportEnd(connection.remove(index), new AttemptEnd.NeverSent());
+            PendingSend withdrawn = connection.find(withdraw.shardRequestId(), withdraw.attempt());
+            if (withdrawn == null) {
+                continue;
+            }
+            if (connection.bodyWritten) {
+                withdrawn.withdrawn = true;
+                if (connection.isAbandoned()) {
+                    connection.client.close();
+                }
+            } else {
+                connection.pending.remove(withdrawn);
+                reportEnd(withdrawn.send, new AttemptEnd.NeverSent());
             }
         }
     }
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -97,7 +97,15 @@
                         .orElseThrow();
         this.shutdown = new GracefulShutdown(ShutdownDeadlines.of(longestDeadlineMs), clock::now);
         this.guard = new RequestGuard(clock::now, BrokerServer::log);
-        this.reducer = new Reducer(clock.now(), config.settings(), config.zones(), config.kinds());
+        Set<String> openSearchKinds =
+                config.search() == null ? Set.of() : config.search().searcherKinds();
+        this.reducer =
+                new Reducer(
+                        clock.now(),
+                        config.settings(),
+                        config.zones(),
+                        config.kinds(),
+                        openSearchKinds);
         this.driver =
                 new ReducerDriver(
                         loop, reducer, config.settings().tickMs(), clock::now, this::execute);
@@ -124,7 +132,7 @@
                                         config.connectTimeoutMs(),
                                         clock::now,
                                         this::enqueue),
-                                config.search().searcherKinds());
+                                openSearchKinds);
         guard.setInputReader(() -> servers.forEach(HttpServer::readDelayedInput));
         searchers.setGuard(guard);
         this.watcher =
--- a/src/main/java/reeldeal/server/JitWarmUp.java
+++ b/src/main/java/reeldeal/server/JitWarmUp.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import reeldeal.config.BrokerConfig;
 import reeldeal.core.Effect;
@@ -50,7 +51,8 @@
         this.config = config;
         this.now = now;
         this.front = new PlatformFront(this, config.settings(), config.classes(), config.shards());
-        this.reducer = new Reducer(now, config.settings(), config.zones(), config.kinds());
+        this.reducer =
+                new Reducer(now, config.settings(), config.zones(), config.kinds(), Set.of());
     }
 
     /** Runs the queries and returns how many of them were served. */
--- a/src/test/java/reeldeal/core/ReducerFixture.java
+++ b/src/test/java/reeldeal/core/ReducerFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import reeldeal.decision.DecisionModule.EndpointListKind;
 import reeldeal.decision.DecisionModule.EndpointState;
 import reeldeal.decision.DecisionModule.Layout;
@@ -23,7 +24,7 @@
 
     /** Creates a reducer whose endpoint list has these searchers. */
     ReducerFixture(Settings settings, Searcher... searchers) {
-        reducer = new Reducer(0, settings, List.of("a"), List.of());
+        reducer = new Reducer(0, settings, List.of("a"), List.of(), Set.of());
         changeEndpoints(EndpointListKind.COMPLETE, searchers);
     }
 
--- a/src/test/java/reeldeal/decision/DecisionFixture.java
+++ b/src/test/java/reeldeal/decision/DecisionFixture.java
@@ -47,6 +47,7 @@
     int maxAttempts = 3;
     boolean hedging = true;
     boolean cancel = true;
+    boolean cancelsWholeCalls;
     int maxInFlight = 1000;
     Rules rules = new Rules(250, 0.25, 10000, 2, 2000, 5, 0.2, 5000, 10000);
     List<QueryClass> classes = new ArrayList<>(List.of(queryClass(RepeatSafety.IDEMPOTENT, 1, 1)));
@@ -192,6 +193,11 @@
         recordAction("cancel " + shardRequest + " " + attemptNumber);
     }
 
+    @Override
+    public boolean cancelsWholeCalls(long server) {
+        return cancelsWholeCalls;
+    }
+
     @Override
     public void answer(long query, boolean complete) {
         results.add(new Result(now, query, complete ? "complete" : "partial"));
--- a/src/test/java/reeldeal/decision/HedgingTest.java
+++ b/src/test/java/reeldeal/decision/HedgingTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import reeldeal.decision.DecisionModule.Outcome;
+import reeldeal.decision.DecisionModule.RepeatSafety;
 
 /** Tests when attempts in flight are hedged or cancelled. */
 class HedgingTest {
@@ -60,6 +62,55 @@
         assertTrue(fixture.cancelled.isEmpty());
     }
 
+    /**
+     * A call of a query that becomes overdue and of another, which alone would not be cancelled.
+     */
+    private static final class SharedCall {
+        final DecisionFixture fixture = new DecisionFixture();
+        final long overdueQuery;
+        final long otherQuery = 4;
+
+        SharedCall(RepeatSafety ofTheOther) {
+            fixture.hedging = false;
+            fixture.cancelsWholeCalls = true;
+            fixture.classes.add(DecisionFixture.queryClass(ofTheOther, 1, 1));
+            fixture.start(3);
+            fixture.establishTypicalLatency(40, 0, 1, 2, 3);
+            for (long query = 1; query < otherQuery; query++) {
+                fixture.submit(query, 0);
+            }
+            // Its deadline leaves no time for an attempt that would meet the objective.
+            fixture.submit(otherQuery, 1, fixture.now + 850, 4);
+            long silent = fixture.sendsOf(otherQuery).get(0).server();
+            overdueQuery =
+                    fixture.sent.stream()
+                            .filter(send -> send.server() == silent)
+                            .mapToLong(send -> send.shardRequest() / 100)
+                            .filter(query -> query < otherQuery)
+                            .findFirst()
+                            .orElseThrow();
+            for (long query = 1; query < otherQuery; query++) {
+                answerAllExceptAt(fixture, query, silent, query == 1 ? 100 : 0);
+            }
+            fixture.advance(650);
+        }
+    }
+
+    @Test
+    void anOverdueAttemptIsCancelledWithItsCallIfTheServerCancelsOnlyWholeCalls() {
+        SharedCall call = new SharedCall(RepeatSafety.IDEMPOTENT);
+        assertEquals(
+                List.of(100 * call.overdueQuery + "/0", 100 * call.otherQuery + 4 + "/0"),
+                call.fixture.cancelled);
+    }
+
+    @Test
+    void aCallIsNotCancelledForAnOverdueAttemptIfAnotherMustNotBeRepeated() {
+        SharedCall call = new SharedCall(RepeatSafety.NOT_IDEMPOTENT);
+        assertEquals(List.of(), call.fixture.cancelled);
+        assertEquals(1, call.fixture.sendsOf(call.overdueQuery).size());
+    }
+
     /**
      * If the attempt at the only replica that answers were cancelled in favour of silent replicas,
      * its answer would be lost and no other would come.
--- a/src/test/java/reeldeal/opensearch/OpenSearchTransportTest.java
+++ b/src/test/java/reeldeal/opensearch/OpenSearchTransportTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -17,10 +19,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import reeldeal.core.AttemptEnd;
+import reeldeal.core.AttemptEnd.Reach;
 import reeldeal.core.Effect;
 import reeldeal.core.Event;
 import reeldeal.core.Request;
@@ -29,17 +33,24 @@
 
 /**
  * Guards against a repeated {@code _msearch} response that is taken as the response to a later
- * call: its values were made for another client's query.
+ * call, and against the report that an attempt has ended while its searcher still holds it.
  */
 class OpenSearchTransportTest {
     private static final int TIMEOUT_S = 10;
     private static final int CALLS = 4;
+    private static final int NO_EVENT_MS = 300;
+
+    /** The text of a query that the searcher does not answer until it is told to. */
+    private static final String SILENT = "silent";
+
     private static final Pattern TEXT = Pattern.compile("\"query_string\":\\{\"query\":\"(\\w+)\"");
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final BlockingQueue<Event> events = new ArrayBlockingQueue<>(100);
     private final OpenSearchTransport transport =
             new OpenSearchTransport(group, 1_000, () -> 0, events::add);
+    private final BlockingQueue<Socket> silentCalls = new ArrayBlockingQueue<>(10);
+    private final BlockingQueue<Socket> endedCalls = new ArrayBlockingQueue<>(10);
     private ServerSocket server;
     private Searcher searcher;
 
@@ -83,18 +94,38 @@
     }
 
     /** Answers calls with their own text; repeats the last response once the next call arrives. */
-    private static void serve(Socket connection) throws IOException {
+    private void serve(Socket connection) throws IOException {
         byte[] lastResponse = {};
         while (true) {
             String call = readCall(new DataInputStream(connection.getInputStream()));
             Matcher text = TEXT.matcher(call);
             String value = text.find() ? text.group(1) : "probe";
+            if (value.equals(SILENT)) {
+                silentCalls.add(connection);
+                awaitEnd(connection);
+                endedCalls.add(connection);
+                return;
+            }
             connection.getOutputStream().write(lastResponse);
             lastResponse = response(value);
             connection.getOutputStream().write(lastResponse);
         }
     }
 
+    private static void readUntilEnd(Socket connection) throws IOException {
+        while (connection.getInputStream().read() >= 0) {
+            continue;
+        }
+    }
+
+    private static void awaitEnd(Socket connection) {
+        try {
+            readUntilEnd(connection);
+        } catch (IOException e) {
+            return; // the broker has reset the connection, which ends the call as well
+        }
+    }
+
     private static String readCall(DataInputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
@@ -107,19 +138,49 @@
     }
 
     private static byte[] response(String value) {
+        return response(List.of(value));
+    }
+
+    private static byte[] response(List<String> values) {
         String body =
-                "{\"responses\":[{\"hits\":{\"hits\":[{\"_id\":\""
-                        + value
-                        + "\"}]},\"status\":200}]}";
+                values.stream()
+                        .map(
+                                value ->
+                                        "{\"hits\":{\"hits\":[{\"_id\":\""
+                                                + value
+                                                + "\"}]},\"status\":200}")
+                        .collect(Collectors.joining(",", "{\"responses\":[", "]}"));
         String head = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n";
         return (head + body).getBytes(StandardCharsets.UTF_8);
     }
 
-    private void call(long id, String text) {
+    private static Effect.Send send(long id, String text) {
         Request request = new Request(id, "q" + id, 0, null, 5_000, false, text, List.of());
-        Effect.Send send =
-                new Effect.Send(id, 0, request, 0, 5_000, Double.POSITIVE_INFINITY, null);
-        group.next().execute(() -> transport.call(new Effect.Call(searcher, List.of(send))));
+        return new Effect.Send(id, 0, request, 0, 5_000, Double.POSITIVE_INFINITY, null);
+    }
+
+    private void call(long id, String text) {
+        call(send(id, text));
+    }
+
+    private void call(Effect.Send... sends) {
+        group.next().execute(() -> transport.call(new Effect.Call(searcher, List.of(sends))));
+    }
+
+    private void abandon(long id) {
+        group.next().execute(() -> transport.abandon(new Effect.Abandon(id, 0, false)));
+    }
+
+    /** Sends one call with two shard requests and returns its connection at the searcher. */
+    private Socket callThatIsNotAnswered() throws InterruptedException {
+        call(send(1, SILENT), send(2, SILENT));
+        return silentCalls.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    private void assertAbandoned(long id) throws InterruptedException {
+        Event.AttemptEnded ended = nextEvent(Event.AttemptEnded.class);
+        assertEquals(id, ended.shardRequestId());
+        assertEquals(new AttemptEnd.Abandoned(Reach.SENT, false), ended.end());
     }
 
     private <T extends Event> T nextEvent(Class<T> type) throws InterruptedException {
@@ -147,4 +208,37 @@
         Event.AttemptEnded ended = nextEvent(Event.AttemptEnded.class);
         assertEquals("text2", ((AttemptEnd.Served) ended.end()).value());
     }
+
+    @Test
+    void anAbandonedShardRequestIsInFlightWhileItsCallHasOthers() throws Exception {
+        callThatIsNotAnswered();
+        abandon(1);
+        assertNull(events.poll(NO_EVENT_MS, TimeUnit.MILLISECONDS));
+        assertTrue(endedCalls.isEmpty());
+        abandon(2);
+        assertAbandoned(1);
+        assertAbandoned(2);
+        assertInstanceOf(Socket.class, endedCalls.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void anAbandonedShardRequestOfACallThatIsAnsweredIsServed() throws Exception {
+        Socket connection = callThatIsNotAnswered();
+        abandon(1);
+        connection.getOutputStream().write(response(List.of("first", "second")));
+        for (String value : List.of("first", "second")) {
+            AttemptEnd end = nextEvent(Event.AttemptEnded.class).end();
+            assertEquals(value, assertInstanceOf(AttemptEnd.Served.class, end).value());
+        }
+    }
+
+    @Test
+    void aShardRequestThatIsNoLongerNeededDoesNotKeepAnAbandonedOneInFlight() throws Exception {
+        callThatIsNotAnswered();
+        group.next().execute(() -> transport.withdraw(new Effect.Withdraw(1, 0)));
+        abandon(2);
+        nextEvent(Event.AttemptEnded.class);
+        assertAbandoned(2);
+        assertInstanceOf(Socket.class, endedCalls.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    }
 }
