--- a/src/main/java/reeldeal/http/HttpParser.java
+++ b/src/main/java/reeldeal/http/HttpParser.java
@@ -3,9 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
@@ -17,7 +14,6 @@
 public final class HttpParser {
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024;
-    private static final int MAX_HEADERS = 100;
     private static final int MAX_CHUNK_LINE_BYTES = 256;
 
     /** The most bytes that the chunk-size lines of one message may take. */
@@ -26,7 +22,10 @@
     private static final int INITIAL_BUFFER_BYTES = 1024;
     private static final int MAX_RETAINED_BUFFER_BYTES = 4 * INITIAL_BUFFER_BYTES;
     private static final String CONTENT_LENGTH = "content-length";
-    private static final Pattern LINE_END = Pattern.compile("\r?\n");
+
+    /** The heap size of a header field or of an array without its content, in bytes. */
+    private static final int FIELD_OVERHEAD_BYTES = 128;
+
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     /** The outcome of parsing the bytes that were fed so far. */
@@ -66,6 +65,8 @@
     private int start; // index of the first byte that is not parsed yet
     private int end; // index after the last byte that was fed
     private int scanned; // bytes before this index hold no end of the current line or head
+    private int headLines; // lines of the current head that were scanned, without the empty one
+    private int headBytes; // length of the head of the message whose body is being read
     private Malformed malformed;
     private Stage stage = Stage.HEAD;
     private HttpMessage head;
@@ -87,9 +88,16 @@
         return end - start < MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES;
     }
 
-    /** Returns the memory used by the buffers, in bytes. */
+    /** Returns about how much heap memory the message that is being read takes, in bytes. */
     public int bufferedBytes() {
-        return buffer.length + (chunkedBody == null ? 0 : chunkedBody.size());
+        int bytes = buffer.length;
+        if (head != null) {
+            bytes += headBytes + FIELD_OVERHEAD_BYTES * head.headers().size();
+        }
+        if (chunkedBody != null) {
+            bytes += FIELD_OVERHEAD_BYTES + 2 * chunkedBody.size(); // its array doubles to grow
+        }
+        return bytes;
     }
 
     /** Returns how many of the bytes that were fed are not parsed yet. */
@@ -122,12 +130,18 @@
             start = 0;
         }
         if (buffer.length < end + length) {
-            buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, end + length));
+            buffer = Arrays.copyOf(buffer, Math.max(grownCapacity(), end + length));
         }
         System.arraycopy(bytes, offset, buffer, end, length);
         end += length;
     }
 
+    /** Returns the next capacity of the buffer, which need not exceed a body of known length. */
+    private int grownCapacity() {
+        int doubled = 2 * buffer.length;
+        return stage == Stage.FIXED_LENGTH_BODY ? (int) Math.min(doubled, remaining) : doubled;
+    }
+
     /** Parses the bytes fed so far, up to the end of the next message. */
     public Result next() {
         if (malformed != null) {
@@ -151,6 +165,7 @@
             start = 0;
             end = 0;
             buffer = new byte[0];
+            head = null;
             chunkedBody = null;
         }
         return result;
@@ -166,78 +181,24 @@
         if ((headEnd < 0 ? end : headEnd) - start > MAX_HEAD_BYTES) {
             return new Malformed(431, "header too large");
         }
+        if (headLines > HeadParser.MAX_HEADERS + 1) {
+            return new Malformed(431, "too many headers");
+        }
         if (headEnd < 0) {
             return new NeedMore(false);
         }
-        String[] lines =
-                LINE_END.split(
-                        new String(buffer, start, headEnd - start, StandardCharsets.ISO_8859_1));
-        start = headEnd;
-        String[] startLine = lines[0].split(" ", 3);
-        Malformed malformedMessage = checkStartLine(startLine);
+        HeadParser headParser = new HeadParser(parsesResponses, buffer, start, headEnd);
+        Malformed malformedMessage = headParser.parse();
         if (malformedMessage != null) {
             return malformedMessage;
         }
-        if (lines.length - 1 > MAX_HEADERS) {
-            return new Malformed(431, "too many headers");
-        }
-        Map<String, String> headers = new HashMap<>();
-        malformedMessage = parseHeaders(lines, headers);
-        if (malformedMessage != null) {
-            return malformedMessage;
-        }
-        head =
-                new HttpMessage(
-                        startLine[0],
-                        startLine[1],
-                        startLine.length > 2 ? startLine[2] : "",
-                        headers,
-                        new byte[0]);
+        headBytes = headEnd - start;
+        start = headEnd;
+        head = headParser.message();
         return beginBody(
-                parsesResponses ? startLine[0] : startLine[2],
-                headers.get("transfer-encoding"),
-                headers.get(CONTENT_LENGTH));
-    }
-
-    private Malformed checkStartLine(String[] startLine) {
-        if (startLine.length < (parsesResponses ? 2 : 3)
-                || startLine[0].isEmpty()
-                || startLine[1].isEmpty()) {
-            return new Malformed(400, "malformed start line");
-        }
-        String version = parsesResponses ? startLine[0] : startLine[2];
-        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
-            return new Malformed(version.startsWith("HTTP/") ? 505 : 400, "unsupported version");
-        }
-        if (parsesResponses && !startLine[1].matches("[1-5][0-9][0-9]")) {
-            return new Malformed(400, "malformed status");
-        }
-        return null;
-    }
-
-    /** Parses the lines after the start line into {@code headers}, with names in lower case. */
-    private static Malformed parseHeaders(String[] lines, Map<String, String> headers) {
-        for (int i = 1; i < lines.length; i++) {
-            int colon = lines[i].indexOf(':');
-            String name = colon <= 0 ? "" : lines[i].substring(0, colon);
-            if (!isToken(name)) {
-                return new Malformed(400, "malformed header");
-            }
-            String key = name.toLowerCase(Locale.ROOT);
-            String value = lines[i].substring(colon + 1).trim();
-            String previous = headers.get(key);
-            if (previous == null) {
-                headers.put(key, value);
-            } else if (!key.equals(CONTENT_LENGTH)) {
-                // A repeated field is joined to a list. A field that must not be repeated then has
-                // an invalid value and is rejected when it is used.
-                headers.put(key, previous + ", " + value);
-            } else if (!previous.equals(value)) {
-                // With two different lengths, the end of the message would be ambiguous.
-                return new Malformed(400, "two lengths");
-            }
-        }
-        return null;
+                parsesResponses ? head.methodOrVersion() : head.versionOrReason(),
+                head.header("transfer-encoding"),
+                head.header(CONTENT_LENGTH));
     }
 
     /** Selects the framing of the body from the headers. */
@@ -387,6 +348,7 @@
                         body);
         stage = Stage.HEAD;
         head = null;
+        headLines = 0;
         chunkedBody = null;
         scanned = start;
         continueSignalled = false;
@@ -406,15 +368,21 @@
             if (buffer[i] != '\n') {
                 continue;
             }
+            headLines++;
             if (i + 1 < end && buffer[i + 1] == '\n') {
                 return i + 2;
             }
             if (i + 2 < end && buffer[i + 1] == '\r' && buffer[i + 2] == '\n') {
                 return i + 3;
             }
+            if (i + 1 == end || (i + 2 == end && buffer[i + 1] == '\r')) {
+                // The empty line may begin here.
+                headLines--;
+                scanned = i;
+                return -1;
+            }
         }
-        // The last two bytes may be the beginning of the empty line that ends the head.
-        scanned = Math.max(start, end - 2);
+        scanned = Math.max(start, end);
         return -1;
     }
 
@@ -436,14 +404,4 @@
         }
         return !digits.isEmpty() && digits.length() <= 8;
     }
-
-    private static boolean isToken(String name) {
-        for (int i = 0; i < name.length(); i++) {
-            char c = name.charAt(i);
-            if (c <= ' ' || c >= 127 || "()<>@,;:\\\"/[]?={}".indexOf(c) >= 0) {
-                return false;
-            }
-        }
-        return !name.isEmpty();
-    }
 }
--- a/src/test/java/reeldeal/http/HttpParserTest.java
+++ b/src/test/java/reeldeal/http/HttpParserTest.java
@@ -1,6 +1,7 @@
 package reeldeal.http;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import org.junit.Test;
@@ -82,4 +83,25 @@
         assertEquals(new HttpParser.NeedMore(true), parse(requestParser, head));
         assertEquals(new HttpParser.NeedMore(false), parse(requestParser, "x"));
     }
+
+    @Test
+    public void theMemoryOfAHeadOfManyShortFieldsCounts() {
+        HttpParser parser = new HttpParser(false);
+        StringBuilder head = new StringBuilder("POST / HTTP/1.1\r\nContent-Length: 9\r\n");
+        for (int i = 0; i < 90; i++) {
+            head.append("f").append(i).append(":\r\n");
+        }
+        assertEquals(new HttpParser.NeedMore(false), parse(parser, head + "\r\n"));
+        int leastBytesOfAField = 100; // two strings with their arrays, and an entry of the map
+        assertTrue(parser.bufferedBytes() > 90 * leastBytesOfAField);
+    }
+
+    @Test
+    public void aHeadOfVeryManyShortFieldsIsRejectedBeforeItsEnd() {
+        HttpParser parser = new HttpParser(false);
+        String fields = "POST / HTTP/1.1\r\n" + "a:\r\n".repeat(100);
+        assertEquals(new HttpParser.NeedMore(false), parse(parser, fields));
+        HttpParser.Malformed tooMany = new HttpParser.Malformed(431, "too many headers");
+        assertEquals(tooMany, parse(parser, "a:\r\nb"));
+    }
 }
