Keep the name of a request whose client left while a searcher still holds it

A test of the reducer shows it: the client leaves while its attempt is in flight, and the same id 4 s later is sent at once.

Cause: the name was free 3 s after the client had left, however long the attempts went on. Searchers tell attempts apart by that name.

Change: a name is kept until the last attempt has ended, 3 s more, and not less than until the deadline until which its client may come again. At most 20,000 names of ended requests are kept, so that ever new names take a bounded share of memory.

ReducerTest.theNameOfAnOpenRequestIsInvalid... asserted the fault: it sent the name again 4 s after the client had left, with the attempt in flight. It now asks that the name is refused then, and is free after the attempt has ended and the 3 s have passed; red before.

--- a/src/main/java/reeldeal/core/PendingRequest.java
+++ b/src/main/java/reeldeal/core/PendingRequest.java
@@ -19,6 +19,12 @@
 
     boolean fetchPhaseBegun;
 
+    /** Whether the request has its final answer, or its client has left. */
+    boolean closed;
+
+    /** Number of attempts in both phases that have not ended. */
+    int attemptsInFlight;
+
     /** Number of shard requests in both phases. */
     int shardRequestCount;
 
@@ -26,6 +32,11 @@
         this.request = request;
     }
 
+    /** Whether the request is closed and no searcher holds a shard request of it any more. */
+    boolean isOver() {
+        return closed && attemptsInFlight == 0;
+    }
+
     /** Returns the shard requests of the current phase that are answered. */
     List<PendingShardRequest> answered() {
         return currentPhase.stream().filter(shardRequest -> shardRequest.answer != null).toList();
--- a/src/main/java/reeldeal/core/PendingShardRequest.java
+++ b/src/main/java/reeldeal/core/PendingShardRequest.java
@@ -31,6 +31,7 @@
     int startAttempt(double nowMs) {
         attempts.add(new AttemptState(nowMs));
         inFlight++;
+        parent.attemptsInFlight++;
         return attempts.size() - 1;
     }
 
@@ -45,6 +46,7 @@
         attempt.ended = true;
         attempt.neverRan = end.outcome().neverRan();
         inFlight--;
+        parent.attemptsInFlight--;
         if (end instanceof AttemptEnd.Served served && answer == null) {
             answer = served;
         }
--- a/src/main/java/reeldeal/core/Reducer.java
+++ b/src/main/java/reeldeal/core/Reducer.java
@@ -216,6 +216,7 @@
         }
         shardRequest.endAttempt(number, event.end());
         requests.removeIfIdle(shardRequest);
+        releaseNameIfOver(shardRequest.parent);
         double elapsedMs = now - shardRequest.attempts.get(number).startedAtMs;
         engine.outcome(
                 now, shardRequest.id, number, event.end().outcome(), elapsedMs, event.load());
@@ -404,8 +405,15 @@
 
     private void close(PendingRequest pending) {
         requests.remove(pending);
-        names.release(pending.request.name(), now);
+        pending.closed = true;
         pending.currentPhase.forEach(this::complete);
+        releaseNameIfOver(pending);
+    }
+
+    private void releaseNameIfOver(PendingRequest pending) {
+        if (pending.isOver()) {
+            names.release(pending.request.name(), now, pending.request.deadlineMs());
+        }
     }
 
     /** Completes a shard request, and withdraws its attempts that are not written yet. */
--- a/src/main/java/reeldeal/core/RequestNames.java
+++ b/src/main/java/reeldeal/core/RequestNames.java
@@ -5,14 +5,17 @@
 import java.util.Map;
 
 /**
- * The names of open requests and of requests that have ended recently. Searchers identify a shard
- * request by the name of its request, so that they could not distinguish two requests with the same
- * name.
+ * The names of requests that are open, or of which searchers still hold shard requests, and of
+ * requests that have ended recently. Searchers identify a shard request by the name of its request,
+ * so that they could not distinguish two requests with the same name.
  */
 final class RequestNames {
     /** Time for which the name of an ended request may not be used again, in milliseconds. */
     private static final double QUARANTINE_MS = 3_000;
 
+    /** The most names of ended requests; beyond it those that ended first may be used again. */
+    static final int MAX_ENDED = 20_000;
+
     private final Map<String, Double> reservedUntilMs = new HashMap<>();
     private final ArrayDeque<String> releaseOrder = new ArrayDeque<>();
 
@@ -29,10 +32,16 @@
         reservedUntilMs.put(name, Double.POSITIVE_INFINITY);
     }
 
-    /** Releases the name of a request that ends now; it is free after the quarantine period. */
-    void release(String name, double nowMs) {
-        reservedUntilMs.put(name, nowMs + QUARANTINE_MS);
+    /**
+     * Releases the name of a request that ends now. It is free after the quarantine period, but not
+     * before the deadline until which its client may have sent it again.
+     */
+    void release(String name, double nowMs, double deadlineMs) {
+        reservedUntilMs.put(name, Math.max(nowMs + QUARANTINE_MS, deadlineMs));
         releaseOrder.add(name);
+        if (releaseOrder.size() > MAX_ENDED) {
+            reservedUntilMs.remove(releaseOrder.poll());
+        }
     }
 
     /** Returns the number of names in the table, those in quarantine included. */
--- a/src/test/java/reeldeal/core/ReducerTest.java
+++ b/src/test/java/reeldeal/core/ReducerTest.java
@@ -122,6 +122,11 @@
         fixture.tick(new Event.ClientDisconnected(1));
         int entriesBefore = fixture.reducer.retainedEntries();
         fixture.tickAt(4000, sameName);
+        assertEquals(List.of(), fixture.calls(), "its first attempt is still in flight");
+        fixture.tickAt(4010, ended(1, 0, new AttemptEnd.NeverSent()));
+        fixture.tickAt(7000, sameName);
+        assertEquals(List.of(), fixture.calls());
+        fixture.tickAt(7020, new Event.Arrived(request(3, "q1", 9000, 1)));
         assertEquals(1, fixture.calls().size());
         assertEquals(entriesBefore, fixture.reducer.retainedEntries());
     }
--- a/src/test/java/reeldeal/core/RequestNamesTest.java
+++ b/src/test/java/reeldeal/core/RequestNamesTest.java
@@ -19,7 +19,7 @@
     @Test
     void aReleasedNameStaysInUseForThreeSeconds() {
         names.reserve("q");
-        names.release("q", 1000);
+        names.release("q", 1000, 0);
         assertTrue(names.inUse("q", 4000));
         assertFalse(names.inUse("q", 4001));
     }
@@ -28,8 +28,27 @@
     void namesOfEndedRequestsAreForgotten() {
         names.reserve("q");
         names.reserve("open");
-        names.release("q", 1000);
+        names.release("q", 1000, 0);
         names.inUse("another", 9000);
         assertEquals(1, names.size());
     }
+
+    @Test
+    void aNameIsNotFreeBeforeTheDeadlineUntilWhichItsClientMayComeAgain() {
+        names.reserve("q");
+        names.release("q", 1000, 9000);
+        assertTrue(names.inUse("q", 9000));
+        assertFalse(names.inUse("q", 9001));
+    }
+
+    @Test
+    void everNewNamesTakeNoMoreThanTheirShareOfMemory() {
+        for (int i = 0; i <= RequestNames.MAX_ENDED; i++) {
+            names.reserve("q" + i);
+            names.release("q" + i, 1000, 0);
+        }
+        assertEquals(RequestNames.MAX_ENDED, names.size());
+        assertFalse(names.inUse("q0", 1000));
+        assertTrue(names.inUse("q1", 1000));
+    }
 }
