Read each client in turns, and send nothing on while its end may be unread

Cause: a connection was read 256 KB a time also where nothing waited for a response, so that up to 8 MiB were buffered and then parsed at once; each read that found an answer to give began a chain of further ones, and the chains never met. Buffered requests were sent on while what their client had sent after them, its end included, was still unread.

Change: ChannelReader reads a connection 64 KB a turn, then rests 1 ms, and knows whether the input was read to its end; a connection handles one request a turn; nothing is read ahead beyond the buffer unless a request is open. A request is passed on only if the input was read to its end within 50 ms; a client that sends over 144 KiB faster than it is read gets 503 for what waits and 500 for the open request, for which nothing more is sent. RequestInput and PendingExchange are split off ServerConnection.

--- a/src/main/java/reeldeal/http/HttpServer.java
+++ b/src/main/java/reeldeal/http/HttpServer.java
@@ -29,7 +29,6 @@
 public final class HttpServer {
     private static final int BACKLOG = 512;
     private static final int SWEEP_INTERVAL_MS = 250;
-    private static final int MAX_READS_AT_ONCE = 16;
 
     /** Bounds the share of a late loop's time that reading delayed input takes. */
     private static final long INPUT_READ_INTERVAL_NANOS = 10_000_000;
@@ -119,7 +118,7 @@
     private static RecvByteBufAllocator readBuffers() {
         return new AdaptiveRecvByteBufAllocator(512, 2_048, 16_384)
                 .respectMaybeMoreData(false)
-                .maxMessagesPerRead(MAX_READS_AT_ONCE);
+                .maxMessagesPerRead(InputBacklog.MAX_TURN_READS);
     }
 
     private void startSweeping(EventLoopGroup group) {
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import reeldeal.sockets.SocketChannels;
 
 /**
  * One connection of an {@link HttpServer}: reads requests, passes them to the handler one at a
@@ -43,19 +42,18 @@
         void disconnected(ServerConnection connection, ConnectionClosed closed);
     }
 
-    private final MemoryBudget memory;
+    private final RequestInput input;
+    private final ChannelReader reader;
     private final RequestHandler handler;
     private final LongSupplier clock;
     private final Listener listener;
-    private HttpParser parser = new HttpParser(false);
     private final double acceptDelayMs;
-    private final ArrivalTimes arrivals = new ArrivalTimes();
-    private final PipelinedRejections rejections = new PipelinedRejections();
     private ChannelHandlerContext context;
     private PendingExchange currentExchange;
     private boolean hadRequest;
     private boolean ending; // no further request will be read
     private boolean delayedAfterBadRequests;
+    private boolean resumeScheduled;
     private boolean closeScheduled;
     private boolean closed;
     private int unwrittenResponses; // handed to the channel, but not yet to the system
@@ -73,7 +71,8 @@
             double acceptDelayMs,
             Listener listener) {
         this.acceptDelayMs = acceptDelayMs;
-        this.memory = memory;
+        this.input = new RequestInput(memory);
+        this.reader = new ChannelReader(clock, listener::lagMs, this::onClosed);
         this.handler = handler;
         this.clock = clock;
         this.listener = listener;
@@ -96,16 +95,11 @@
     }
 
     boolean hasRequestInProgress() {
-        return currentExchange != null || hasUnansweredInput();
-    }
-
-    /** Whether a further request was read, at least in part, after the one in progress. */
-    private boolean hasUnansweredInput() {
-        return parser.inMessage() || !rejections.isEmpty();
+        return currentExchange != null || input.isUnanswered();
     }
 
     private boolean isAnswered() {
-        return currentExchange == null && rejections.isEmpty();
+        return currentExchange == null && !input.hasRejections();
     }
 
     boolean isInactiveLongerThan(ServerConnection other) {
@@ -116,7 +110,7 @@
     boolean isEvictable(long now) {
         return isAnswered()
                 && unwrittenResponses == 0
-                && !(delayedAfterBadRequests && parser.inMessage())
+                && !(delayedAfterBadRequests && input.inMessage())
                 && (ending
                         || hadRequest
                         || now - inactiveSince >= ConnectionTimeouts.MIN_EVICTION_AGE_MS);
@@ -136,7 +130,7 @@
     }
 
     void releaseMemory() {
-        memory.adjust(-parser.bufferedBytes());
+        input.releaseMemory();
     }
 
     /** Closes the connection at once. The first reason counts. */
@@ -178,11 +172,8 @@
 
     /** Reads what has arrived if a request waits for its response. */
     void readWhileUnanswered() {
-        if (currentExchange != null && context.channel().config().isAutoRead()) {
-            SocketChannels.readNow(context.channel());
-            if (!context.channel().isActive()) {
-                channelInactive(context); // Netty reports it later; then nothing is left to do
-            }
+        if (currentExchange != null) {
+            reader.readToEnd();
         }
     }
 
@@ -191,7 +182,7 @@
         if (currentExchange != null || delayedAfterBadRequests) {
             return;
         }
-        boolean inMessage = parser.inMessage();
+        boolean inMessage = input.inMessage();
         if (ending || !context.channel().isWritable()) {
             if (now - inactiveSince >= ConnectionTimeouts.UNREAD_RESPONSE_MS) {
                 close(CloseReason.UNREAD_RESPONSE);
@@ -219,8 +210,9 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
+        reader.begin(ctx);
         if (listener.admit(this)) {
-            memory.adjust(parser.bufferedBytes());
+            input.countMemory();
         } else {
             close(CloseReason.NO_PLACE);
         }
@@ -229,28 +221,40 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf in = (ByteBuf) message;
-        if (ending || rejections.endsInput()) {
+        reader.addRead(in.readableBytes());
+        if (ending || input.endsInput()) {
             discard(in);
             return;
         }
         byte[] bytes = new byte[in.readableBytes()];
         in.readBytes(bytes);
         in.release();
-        int bufferedBefore = parser.bufferedBytes();
-        if (!parser.inMessage()) {
+        if (!input.inMessage()) {
             requestStartedAt = clock.getAsLong();
         }
-        parser.feed(bytes, 0, bytes.length);
-        arrivals.add(bytes.length, clock.getAsLong() - listener.lagMs());
-        memory.adjust(parser.bufferedBytes() - bufferedBefore);
-        if (memory.isExceeded() && parser.bufferedBytes() > bufferedBefore) {
-            // Many slow or large messages must not use up the memory that other requests need.
-            rejectBufferedRequests();
-            rejectIncompleteRequest();
+        input.add(bytes, clock.getAsLong() - listener.lagMs());
+        processNextRequest();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        reader.endTurn();
+        if (currentExchange != null && reader.isExcessive()) {
+            abandonExchange();
         }
         processNextRequest();
     }
 
+    /**
+     * Ends the exchange of a client that sends so far ahead that its end would be noticed too late:
+     * nothing more may be sent for a client that may have left.
+     */
+    private void abandonExchange() {
+        PendingExchange abandoned = currentExchange;
+        abandoned.respond(500, PLAIN_TEXT, ResponseTexts.TOO_MANY_PIPELINED);
+        abandoned.disconnected();
+    }
+
     /**
      * Reads and discards further input, up to a limit that bounds the work. Closing a connection
      * with unread bytes would reset it, and a disconnect of the client is detected only by reading.
@@ -272,6 +276,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        onClosed();
+    }
+
+    private void onClosed() {
         if (closed) {
             return;
         }
@@ -281,7 +289,7 @@
         listener.disconnected(
                 this,
                 new ConnectionClosed(
-                        ctx.channel().remoteAddress(), closeReason, unanswered != null));
+                        context.channel().remoteAddress(), closeReason, unanswered != null));
         if (unanswered != null) {
             unanswered.disconnected();
         }
@@ -300,45 +308,63 @@
         if (ending) {
             return;
         }
-        if (currentExchange != null && !parser.acceptsMore()) {
-            rejectBufferedRequests();
+        if (currentExchange != null && !input.acceptsMore()) {
+            input.rejectBuffered();
         }
-        boolean writable = context.channel().isWritable();
-        if (currentExchange != null || delayedAfterBadRequests || !writable) {
-            // Stops reading from a client that does not read its responses, or that sent several
-            // bad requests in a row.
-            setAutoRead(currentExchange != null || (parser.acceptsMore() && writable));
+        updateReading();
+        if (currentExchange != null || delayedAfterBadRequests || resumeScheduled || closed) {
             return;
         }
-        if (!rejections.isEmpty()) {
+        if (!context.channel().isWritable() || mustReadFirst()) {
+            return;
+        }
+        if (input.hasRejections()) {
             rejectNextRequest();
             return;
         }
-        int bufferedBefore = parser.bufferedBytes();
-        HttpParser.Result result = parser.next();
-        memory.adjust(parser.bufferedBytes() - bufferedBefore);
+        HttpParser.Result result = input.next();
         if (result instanceof HttpParser.Complete complete) {
             dispatch(complete.message());
-            setAutoRead(true);
         } else if (result instanceof HttpParser.Malformed malformed) {
             byte[] reason = (malformed.reason() + "\n").getBytes(StandardCharsets.UTF_8);
             reject(malformed.status(), reason);
-        } else {
-            setAutoRead(true);
-            if (((HttpParser.NeedMore) result).expectsContinue()) {
-                context.writeAndFlush(Unpooled.wrappedBuffer(ResponseTexts.CONTINUE));
-            }
+        } else if (((HttpParser.NeedMore) result).expectsContinue()) {
+            context.writeAndFlush(Unpooled.wrappedBuffer(ResponseTexts.CONTINUE));
+        }
+        if (!ending) {
+            updateReading();
         }
     }
 
-    private void setAutoRead(boolean autoRead) {
-        context.channel().config().setAutoRead(autoRead);
+    /**
+     * Whether the next request must wait until the input is read: its client may have left. If the
+     * client sends faster than it can be read, its requests are rejected instead.
+     */
+    private boolean mustReadFirst() {
+        if (!reader.isOutdated() || !input.inMessage()) {
+            return false;
+        }
+        if (reader.isExcessive() || !input.acceptsMore()) {
+            input.rejectBuffered();
+            return false;
+        }
+        reader.scheduleRead();
+        return true;
+    }
+
+    /**
+     * Reads on unless the client does not read its responses, or has sent too much while none of
+     * its requests waits for a response.
+     */
+    private void updateReading() {
+        boolean hasRoom = input.acceptsMore() && context.channel().isWritable();
+        reader.setWanted(currentExchange != null || hasRoom);
     }
 
     private void dispatch(HttpMessage request) {
-        long arrivedAt = arrivals.takeParsed(parser.unparsedBytes());
+        long arrivedAt = input.takenArrivedAt();
         double waitedMs = clock.getAsLong() - arrivedAt + (hadRequest ? 0 : acceptDelayMs);
-        currentExchange = new PendingExchange(request.keepsAlive(), waitedMs);
+        currentExchange = new PendingExchange(this::respond, request.keepsAlive(), waitedMs);
         hadRequest = true;
         try {
             handler.handle(request, currentExchange);
@@ -360,38 +386,14 @@
 
     /** Responds to input that is not passed to the handler, and ends the connection. */
     private void reject(int status, byte[] reason) {
-        currentExchange = new PendingExchange(false, 0);
+        currentExchange = new PendingExchange(this::respond, false, 0);
         currentExchange.respond(status, PLAIN_TEXT, reason);
     }
 
-    /**
-     * Rejects all complete requests in the buffer, in their turn. Far more was pipelined than any
-     * client needs: left unread, it would hide a disconnect of the client, and buffered, it would
-     * fill the memory.
-     */
-    private void rejectBufferedRequests() {
-        int bufferedBefore = parser.bufferedBytes();
-        rejections.takeAll(parser);
-        parser.trimBuffer();
-        memory.adjust(parser.bufferedBytes() - bufferedBefore);
-    }
-
-    /** Rejects, in its turn, the request that is still being read if there is no memory for it. */
-    private void rejectIncompleteRequest() {
-        if (!rejections.endsInput() && parser.inMessage() && memory.isExceeded()) {
-            rejections.addLast();
-            memory.adjust(-parser.bufferedBytes());
-            parser = new HttpParser(false);
-            memory.adjust(parser.bufferedBytes());
-        }
-    }
-
     private void rejectNextRequest() {
         hadRequest = true;
-        currentExchange = new PendingExchange(rejections.removeFirst(), 0);
-        byte[] reason =
-                memory.isExceeded() ? ResponseTexts.OVERLOADED : ResponseTexts.TOO_MANY_PIPELINED;
-        currentExchange.respond(503, PLAIN_TEXT, reason);
+        currentExchange = new PendingExchange(this::respond, input.removeRejection(), 0);
+        currentExchange.respond(503, PLAIN_TEXT, input.rejectionReason());
     }
 
     /** Continues after a response that leaves the connection open, delayed after bad requests. */
@@ -401,15 +403,28 @@
         listener.responseWritten();
         long delayMs = badRequestDelay.afterResponse(status);
         if (delayMs == 0) {
-            context.executor().execute(this::resume);
+            scheduleResume();
         } else {
             delayedAfterBadRequests = true;
-            schedule(this::resume, delayMs);
+            schedule(this::resumeAfterDelay, delayMs);
         }
     }
 
-    private void resume() {
+    private void resumeAfterDelay() {
         delayedAfterBadRequests = false;
+        resume();
+    }
+
+    /** Handles the next request after other connections had their turn. */
+    private void scheduleResume() {
+        if (!resumeScheduled) {
+            resumeScheduled = true;
+            context.executor().execute(this::resume);
+        }
+    }
+
+    private void resume() {
+        resumeScheduled = false;
         if (context.channel().isActive()) {
             processNextRequest();
         }
@@ -424,10 +439,10 @@
      */
     private void endAfter(ChannelFuture written, boolean discardsInput) {
         ending = true;
-        rejections.clear();
+        input.clearRejections();
         closeReason = CloseReason.LAST_RESPONSE;
         inactiveSince = clock.getAsLong();
-        setAutoRead(discardsInput);
+        reader.end(discardsInput);
         int lingerMs =
                 discardsInput ? ConnectionTimeouts.LINGER_MS : ConnectionTimeouts.UNREAD_LINGER_MS;
         written.addListener(
@@ -449,49 +464,21 @@
                         });
     }
 
-    /** The request that waits for its response. */
-    private final class PendingExchange implements Exchange {
-        private final boolean keepAlive;
-        private final double waitedMs;
-        private Runnable onDisconnect;
-
-        PendingExchange(boolean keepAlive, double waitedMs) {
-            this.keepAlive = keepAlive;
-            this.waitedMs = waitedMs;
-        }
-
-        @Override
-        public double waitedMs() {
-            return waitedMs;
-        }
-
-        @Override
-        public void respond(int status, Map<String, String> headers, byte[] body) {
-            if (currentExchange != this) {
-                return;
-            }
-            currentExchange = null;
-            // Requests that were read are answered before the connection ends.
-            boolean lastOfClosingServer = listener.isServerClosing() && !hasUnansweredInput();
-            boolean close = !keepAlive || lastOfClosingServer;
-            ChannelFuture written = write(HttpWriter.response(status, headers, body, close));
-            if (close) {
-                boolean isSmall = body.length <= MAX_BUFFERED_BY_CLIENT_BYTES;
-                endAfter(written, !(lastOfClosingServer && keepAlive && isSmall));
-            } else {
-                afterResponse(status);
-            }
-        }
-
-        @Override
-        public void onDisconnect(Runnable action) {
-            onDisconnect = action;
+    private void respond(
+            PendingExchange exchange, int status, Map<String, String> headers, byte[] body) {
+        if (currentExchange != exchange) {
+            return;
         }
-
-        void disconnected() {
-            if (onDisconnect != null) {
-                onDisconnect.run();
-            }
+        currentExchange = null;
+        // Requests that were read are answered before the connection ends.
+        boolean lastOfClosingServer = listener.isServerClosing() && !input.isUnanswered();
+        boolean close = !exchange.keepsAlive() || lastOfClosingServer;
+        ChannelFuture written = write(HttpWriter.response(status, headers, body, close));
+        if (close) {
+            boolean isSmall = body.length <= MAX_BUFFERED_BY_CLIENT_BYTES;
+            endAfter(written, !(lastOfClosingServer && exchange.keepsAlive() && isSmall));
+        } else {
+            afterResponse(status);
         }
     }
 }
