--- a/src/test/java/reeldeal/server/FaultyBroker.java
+++ b/src/test/java/reeldeal/server/FaultyBroker.java
@@ -10,11 +10,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import reeldeal.faultinjection.DaemonThreads;
 import reeldeal.faultinjection.PortRange;
@@ -24,9 +27,14 @@
 /** A broker process whose system calls a test makes fail. */
 final class FaultyBroker implements AutoCloseable {
     private static final int TIMEOUT_MS = 20_000;
+    private static final int RUN_DEADLINE_MS = 2_000;
     private static final int FAULTS_AT_START_MS = 2_500;
     private static final String DEADLINES = "\"HardLimitMs\":1[02]000.0";
 
+    private static final List<String> FLAGS =
+            List.of("-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final Pattern FLAG_OF_RUN = Pattern.compile("-X[ms]\\S+|-XX:\\S+|-D\\S+");
+
     final int port;
     final SyscallFaults faults;
     final List<String> log = new CopyOnWriteArrayList<>();
@@ -52,6 +60,16 @@
             Map<String, String> environment,
             List<SyscallFaults.Kind> faultsAtStart)
             throws Exception {
+        this(deadlineMs, searcherPorts, environment, faultsAtStart, FLAGS);
+    }
+
+    private FaultyBroker(
+            int deadlineMs,
+            List<Integer> searcherPorts,
+            Map<String, String> environment,
+            List<SyscallFaults.Kind> faultsAtStart,
+            List<String> flags)
+            throws Exception {
         publish(discovery, searcherPorts);
         folder = Files.createTempDirectory("faulty");
         Path library = SyscallFaults.compile(folder);
@@ -67,17 +85,12 @@
                         .replace("127.0.0.1:0", "127.0.0.1:" + port)
                         .replaceAll(DEADLINES, "\"HardLimitMs\":" + deadlineMs)
                         .replaceAll("\"AimMs\":8000.0", "\"AimMs\":" + deadlineMs / 2));
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                                System.getProperty("java.home") + "/bin/java",
-                                "-Xmx48m",
-                                "-XX:+UseSerialGC",
-                                "-XX:TieredStopAtLevel=1",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "reeldeal.server.Main",
-                                "serve")
-                        .redirectErrorStream(true);
+        List<String> command = new ArrayList<>();
+        command.add(System.getProperty("java.home") + "/bin/java");
+        command.addAll(flags);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of("reeldeal.server.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment()
                 .keySet()
                 .removeIf(key -> key.startsWith("LB_") || key.startsWith("REELDEAL_"));
@@ -93,6 +106,23 @@
         awaitLog("serving as ");
     }
 
+    /** Starts a broker with the flags of the deploy file's {@code run}. */
+    static FaultyBroker withFlagsOfRun(List<Integer> searcherPorts) throws Exception {
+        String run =
+                Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                        .filter(line -> line.startsWith("run = "))
+                        .findFirst()
+                        .orElseThrow();
+        List<String> flags =
+                FLAG_OF_RUN
+                        .matcher(run)
+                        .results()
+                        .map(MatchResult::group)
+                        .filter(flag -> !flag.contains("SharedArchiveFile"))
+                        .toList();
+        return new FaultyBroker(RUN_DEADLINE_MS, searcherPorts, Map.of(), List.of(), flags);
+    }
+
     private static void publish(FakeDiscovery discovery, List<Integer> searcherPorts) {
         for (int i = 0; i < searcherPorts.size(); i++) {
             discovery.publish(
@@ -153,6 +183,10 @@
                 "{\"shards\":[{\"shard\":0,\"weight\":1}],\"q\":\"x\"}");
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     void terminate() {
         process.toHandle().destroy();
     }
