--- a/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakBroker.java
@@ -65,6 +65,8 @@
                         "-Xss512k",
                         "-XX:+ExitOnOutOfMemoryError",
                         "-XX:+UseSerialGC",
+                        "-XX:MinHeapFreeRatio=10",
+                        "-XX:MaxHeapFreeRatio=20",
                         "-XX:TieredStopAtLevel=1",
                         "-XX:MaxDirectMemorySize=16m",
                         "-XX:MaxMetaspaceSize=40m",
