Free a connection when it is closed, not when its time to linger is over

Cause: the timer that closes a connection 0.5 s after its last response held it, its channel and its buffers for that long, also after the client had closed it.

Change: the timer is cancelled when the connection is closed, and what was buffered is freed with the last response.

--- a/src/main/java/reeldeal/http/RequestInput.java
+++ b/src/main/java/reeldeal/http/RequestInput.java
@@ -101,9 +101,7 @@
     private void rejectIncomplete() {
         if (!rejections.endsInput() && parser.inMessage() && memory.isExceeded()) {
             rejections.addLast();
-            int bufferedBefore = parser.bufferedBytes();
-            parser = new HttpParser(false);
-            adjustMemory(bufferedBefore);
+            replaceParser();
         }
     }
 
@@ -112,8 +110,16 @@
         return rejections.removeFirst();
     }
 
-    void clearRejections() {
+    /** Frees what is buffered, because no further request will be answered. */
+    void discardAll() {
         rejections.clear();
+        replaceParser();
+    }
+
+    private void replaceParser() {
+        int bufferedBefore = parser.bufferedBytes();
+        parser = new HttpParser(false);
+        adjustMemory(bufferedBefore);
     }
 
     /** Returns the reason for rejecting a request without passing it on. */
--- a/src/main/java/reeldeal/http/ServerConnection.java
+++ b/src/main/java/reeldeal/http/ServerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -56,6 +57,7 @@
     private boolean resumeScheduled;
     private boolean closeScheduled;
     private boolean closed;
+    private ScheduledFuture<?> lingerTimeout; // null until the last response is written
     private int unwrittenResponses; // handed to the channel, but not yet to the system
     private long inactiveSince;
     private long requestStartedAt;
@@ -153,8 +155,8 @@
         }
     }
 
-    private void schedule(Runnable task, long delayMs) {
-        context.executor().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    private ScheduledFuture<?> schedule(Runnable task, long delayMs) {
+        return context.executor().schedule(task, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void closeIfStillUnused(CloseReason reason) {
@@ -284,6 +286,9 @@
             return;
         }
         closed = true;
+        if (lingerTimeout != null) {
+            lingerTimeout.cancel(false); // its task would keep this connection in memory
+        }
         PendingExchange unanswered = currentExchange;
         currentExchange = null;
         listener.disconnected(
@@ -439,7 +444,7 @@
      */
     private void endAfter(ChannelFuture written, boolean discardsInput) {
         ending = true;
-        input.clearRejections();
+        input.discardAll();
         closeReason = CloseReason.LAST_RESPONSE;
         inactiveSince = clock.getAsLong();
         reader.end(discardsInput);
@@ -448,7 +453,7 @@
         written.addListener(
                 future -> {
                     ((SocketChannel) context.channel()).shutdownOutput();
-                    schedule(() -> close(CloseReason.LAST_RESPONSE), lingerMs);
+                    lingerTimeout = schedule(() -> close(CloseReason.LAST_RESPONSE), lingerMs);
                 });
     }
 
