Give the searcher's test a port that no connection can take

Traced: the searcher took a port of the range of outgoing connections, stopped, and could not listen on it again, because a connection had got it meanwhile. The port comes from PortRange now, which lies below that range.

ClientPressureTest also discards the answers of a flood as they come.

--- a/src/test/java/reeldeal/faultinjection/soak/SoakSearcherTest.java
+++ b/src/test/java/reeldeal/faultinjection/soak/SoakSearcherTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.List;
 import org.junit.Test;
+import reeldeal.faultinjection.PortRange;
 import reeldeal.faultinjection.TextCodec;
 import reeldeal.faultinjection.soak.RequestLedger.Request;
 
@@ -37,7 +38,9 @@
     @Test
     public void aColdSearcherReportsTheFirstShardRequestBeyondItsBudget() throws Exception {
         ledger.begin(new Request("r", "n0", "notice-search", "q", null, List.of(3), 5_000));
-        try (SoakSearcher searcher = new SoakSearcher("s", 0, 0, 1, BUDGET, ledger)) {
+        try (PortRange ports = new PortRange(1);
+                SoakSearcher searcher =
+                        new SoakSearcher("s", 0, ports.ports().get(0), 1, BUDGET, ledger)) {
             searcher.stop();
             searcher.restart();
             send(searcher, ALLOWED);
--- a/src/test/java/reeldeal/server/ClientPressureTest.java
+++ b/src/test/java/reeldeal/server/ClientPressureTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -152,7 +153,7 @@
         while (!ended) {
             try (Socket client = broker.connect()) {
                 InputStream in = client.getInputStream();
-                DaemonThreads.start(in::readAllBytes);
+                DaemonThreads.start(() -> in.transferTo(OutputStream.nullOutputStream()));
                 while (!ended) {
                     StringBuilder block = new StringBuilder();
                     for (int request = 0; request < 1_000; request++) {
