--- a/src/test/java/reeldeal/opensearch/OpenSearchTransportTest.java
+++ b/src/test/java/reeldeal/opensearch/OpenSearchTransportTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -113,9 +114,7 @@
     }
 
     private static void readUntilEnd(Socket connection) throws IOException {
-        while (connection.getInputStream().read() >= 0) {
-            continue;
-        }
+        connection.getInputStream().transferTo(OutputStream.nullOutputStream());
     }
 
     private static void awaitEnd(Socket connection) {
