Register a member only after the check of its folder has ended

Cause: RollbackCheck asks the other nodes every 50 ms for up to 0.5 s as long as a voter does not answer. Meanwhile the node became current and LocalMember registered, which writes the present start into every log. The next answer named it, and "as high as this start" was taken as proof that another process had had it.

Change: RollbackDetector is the one place that says what proves a rollback, from the peers' answers and from the node's own current copy (FleetNode had a second rule for that). The node registers only once the check has ended, and answers that come later are not heard, so an answer never names this process's own registration. As the registration now waits for the check, the check follows the group's latest voters instead of those in the folder: it would wait for ever for voters that were replaced.

--- a/src/main/java/reeldeal/fleet/membership/LocalMember.java
+++ b/src/main/java/reeldeal/fleet/membership/LocalMember.java
@@ -113,7 +113,7 @@
     private FleetView fleet;
     private Set<String> voters = Set.of();
     private long appliedVersion;
-    private boolean isCopyCurrent;
+    private boolean mayWrite;
     private boolean wasRegistered;
     private boolean superseded;
     private long lastSerial = -1;
@@ -152,12 +152,13 @@
     /**
      * Handles a new version of this node's copy of the store.
      *
-     * @param copyCurrent whether the copy is up to date, rather than read from disk at the start
+     * @param writesAllowed whether this process may write: its copy is up to date, rather than read
+     *     from disk at the start, and its data directory is known to be intact
      */
-    public void onFleetChanged(long now, FleetView newFleet, long version, boolean copyCurrent) {
+    public void onFleetChanged(long now, FleetView newFleet, long version, boolean writesAllowed) {
         fleet = newFleet;
         appliedVersion = version;
-        isCopyCurrent = copyCurrent;
+        mayWrite = writesAllowed;
         long serial = newFleet.version(FleetView.PERMIT_SERIAL);
         if (serial != lastSerial) {
             lastSerial = serial;
@@ -278,7 +279,7 @@
             return; // only heartbeats continue until the process has ended
         }
         followOrders(self);
-        if (isCopyCurrent && !writeInProgress && now >= nextWriteAt) {
+        if (mayWrite && !writeInProgress && now >= nextWriteAt) {
             if (self == null || self.state() == State.LAPSED) {
                 register();
             } else {
@@ -353,7 +354,7 @@
         if (!terminating || now < permitDeadline + timing.retryMs() * EXIT_GRACE_RETRIES) {
             return;
         }
-        boolean storeUnreachable = self == null || !isCopyCurrent;
+        boolean storeUnreachable = self == null || !mayWrite;
         exit(
                 "terminated, unplanned: "
                         + (storeUnreachable
--- a/src/main/java/reeldeal/fleet/node/FleetNode.java
+++ b/src/main/java/reeldeal/fleet/node/FleetNode.java
@@ -89,7 +89,7 @@
     private final StoreNode store;
     private final Host host;
     private final Consumer<String> log;
-    private final long starts;
+    private final RollbackCheck rollbackCheck;
     private final long exitTimeoutMs;
     private final LocalMember self;
     private final FleetLeadership leadership;
@@ -101,7 +101,6 @@
     private FleetView fleet = new FleetView(Map.of());
     private long appliedVersion = -1;
     private boolean refreshScheduled;
-    private boolean dataDirectoryChecked;
     private String leaderNonce = "";
 
     /** Read from any thread. */
@@ -112,12 +111,14 @@
      *
      * @param loop the state loop
      * @param counted the configuration and the number of starts on the data directory
+     * @param rollbackCheck the check of the data directory, which has begun
      * @param configVersion the version of the configuration that the broker runs with
      */
     public FleetNode(
             EventLoop loop,
             StoreNode store,
             FleetConfig.WithStartCount counted,
+            RollbackCheck rollbackCheck,
             String configVersion,
             Host host,
             Consumer<String> log) {
@@ -125,7 +126,7 @@
         this.store = store;
         this.host = host;
         this.log = log;
-        starts = counted.starts();
+        this.rollbackCheck = rollbackCheck;
         FleetConfig config = counted.config();
         LocalMember.Timing timing = config.timing();
         exitTimeoutMs = timing.exitWaitMs() + EXIT_GRACE_RETRIES * timing.retryMs();
@@ -224,53 +225,28 @@
                                         key, new FleetView.Value(value.text(), value.version())));
         fleet = new FleetView(values);
         appliedVersion = store.version();
-        if (!isDataDirectoryTrusted()) {
-            return;
-        }
         self.setVoters(store.configuration().voters());
         leadership.onFleetChanged(fleet);
-        self.onFleetChanged(FleetClock.nowMs(), fleet, appliedVersion, store.isCurrent());
+        self.onFleetChanged(FleetClock.nowMs(), fleet, appliedVersion, mayWrite());
         executeMemberActions();
         updateRecovery();
         viewListeners.forEach(listener -> listener.accept(fleet, self.member()));
     }
 
     /**
-     * Checks once, as soon as this node's copy is current and before it writes anything, that the
-     * group does not already know this or a later start of the node from another process.
+     * Whether this process may register and write: its copy is current, and the check of its data
+     * directory has passed.
      */
-    private boolean isDataDirectoryTrusted() {
-        if (dataDirectoryChecked || !store.isCurrent()) {
-            return true;
-        }
-        dataDirectoryChecked = true;
-        Member registered = fleet.members().get(store.node());
-        long startsKnown = fleet.starts(store.node());
-        boolean isOtherProcess = registered != null && !registered.bootId().equals(store.session());
-        if (!isOtherProcess || startsKnown < starts) {
-            return true;
-        }
-        store.markFolderUntrusted(
-                "this folder went back: the group knows start "
-                        + startsKnown
-                        + " of "
-                        + store.node()
-                        + ", and this process is start "
-                        + starts
-                        + "; the node no longer votes or writes. Rebuild it under a new name:"
-                        + " docs/operators/store.md");
-        return false;
+    private boolean mayWrite() {
+        return rollbackCheck.isPassed() && store.isCurrent();
     }
 
     private void tick() {
-        if (!isDataDirectoryTrusted()) {
-            return;
-        }
         long now = FleetClock.nowMs();
         leadership.updateLeader();
         if (store.version() != appliedVersion || store.isCurrent()) {
             appliedVersion = store.version();
-            self.onFleetChanged(now, fleet, appliedVersion, store.isCurrent());
+            self.onFleetChanged(now, fleet, appliedVersion, mayWrite());
         } else {
             self.tick(now);
         }
--- a/src/main/java/reeldeal/fleet/node/RollbackCheck.java
+++ b/src/main/java/reeldeal/fleet/node/RollbackCheck.java
@@ -14,9 +14,10 @@
 import reeldeal.store.StoreNode;
 
 /**
- * Asks all other nodes, before this node votes, how many of its starts they know of, and marks its
- * data directory as untrusted if an answer proves a rollback. Also answers the same question for
- * other nodes. Used on the state loop.
+ * Collects, after this node's start, what proves that its data directory was rolled back, and halts
+ * the store if the proof is complete; {@link RollbackDetector} decides what a proof is. Until the
+ * check has ended the node neither votes nor registers. Also answers the same question for other
+ * nodes. Used on the state loop.
  */
 public final class RollbackCheck {
     private static final char TOPIC = 'V';
@@ -31,8 +32,13 @@
     private final EventLoop loop;
     private final StoreNode store;
     private final long starts;
-    private RollbackDetector detector;
-    private Set<String> otherVoters = Set.of();
+    private final RollbackDetector detector;
+    private boolean votesAllowed;
+    private boolean ownCopyRead;
+
+    /** Whether the check has ended, and what peers know is evidence no longer. */
+    private boolean ended;
+
     private ScheduledFuture<?> polling;
 
     /**
@@ -44,16 +50,24 @@
         this.loop = loop;
         this.store = store;
         this.starts = starts;
+        detector = new RollbackDetector(starts, otherVoters(), MAX_WAIT_MS);
+    }
+
+    private Set<String> otherVoters() {
+        Set<String> voters = new TreeSet<>(store.configuration().voters());
+        voters.remove(store.node());
+        return voters;
     }
 
-    /** Begins the check and withholds this node's votes; must be called before the store starts. */
+    /**
+     * Begins the check and, if other voters must be asked, withholds this node's votes; must be
+     * called before the store starts.
+     */
     public void begin() {
         store.onPeerMessage(TOPIC, this::onPeerMessage);
-        Set<String> voters = new TreeSet<>(store.configuration().voters());
-        boolean isVoter = voters.remove(store.node());
-        if (isVoter && !voters.isEmpty()) {
-            otherVoters = voters;
-            detector = new RollbackDetector(starts, voters, MAX_WAIT_MS);
+        boolean isVoter = store.configuration().voters().contains(store.node());
+        votesAllowed = !isVoter || otherVoters().isEmpty();
+        if (!votesAllowed) {
             store.withholdVotes(true);
             polling =
                     loop.scheduleAtFixedRate(
@@ -61,6 +75,26 @@
         }
     }
 
+    /**
+     * Returns whether the check has ended well, so that this process may register and write. The
+     * check ends once the node's copy is current and the other voters were asked.
+     */
+    boolean isPassed() {
+        if (!ended && store.isCurrent()) {
+            readOwnCopy();
+            ended = votesAllowed && store.isCurrent();
+        }
+        return ended;
+    }
+
+    private void readOwnCopy() {
+        if (!ownCopyRead) {
+            ownCopyRead = true;
+            detector.onOwnCopyRead(startsKnown(store.node()));
+            haltIfRolledBack();
+        }
+    }
+
     private static long nowMs() {
         return System.nanoTime() / 1_000_000;
     }
@@ -69,13 +103,15 @@
      * Asks all other nodes; learners' answers count too, although the check does not wait for them.
      */
     private void poll() {
-        if (otherVoters.stream().anyMatch(voter -> store.levelOf(voter) > 0)) {
+        Set<String> voters = otherVoters();
+        detector.setOtherVoters(voters);
+        if (voters.stream().anyMatch(voter -> store.levelOf(voter) > 0)) {
             detector.onPeerHeard(nowMs());
         }
         Set<String> others = new TreeSet<>(store.configuration().all());
         others.remove(store.node());
         others.forEach(node -> send(node, QUESTION, starts));
-        decide();
+        decideOnVotes();
     }
 
     private void send(String node, String attribute, long value) {
@@ -83,16 +119,21 @@
         store.sendToPeer(node, TOPIC, message.getBytes(StandardCharsets.UTF_8));
     }
 
-    private void decide() {
-        RollbackDetector.Verdict verdict = detector.verdict(nowMs());
-        if (verdict == RollbackDetector.Verdict.WAIT || polling.isCancelled()) {
-            return;
+    private void decideOnVotes() {
+        haltIfRolledBack();
+        if (!votesAllowed && detector.verdict(nowMs()) == RollbackDetector.Verdict.SOUND) {
+            votesAllowed = true;
+            polling.cancel(false);
+            store.withholdVotes(false);
         }
-        polling.cancel(false);
-        if (verdict == RollbackDetector.Verdict.ROLLED_BACK) {
+    }
+
+    private void haltIfRolledBack() {
+        if (detector.verdict(nowMs()) == RollbackDetector.Verdict.ROLLED_BACK) {
             store.markFolderUntrusted(detector.reason(store.node()));
-        } else {
-            store.withholdVotes(false);
+            if (polling != null) {
+                polling.cancel(false);
+            }
         }
     }
 
@@ -100,9 +141,9 @@
         FormAttributes message = FormAttributes.of(new String(bytes, StandardCharsets.UTF_8));
         if (!message.get(QUESTION).isEmpty()) {
             send(from, ANSWER, startsKnown(from));
-        } else if (detector != null && !message.get(ANSWER).isEmpty()) {
+        } else if (!ended && !message.get(ANSWER).isEmpty()) {
             detector.onStartsReported(nowMs(), from, message.number(ANSWER, 0));
-            decide();
+            decideOnVotes();
         }
     }
 
--- a/src/main/java/reeldeal/fleet/recovery/RollbackDetector.java
+++ b/src/main/java/reeldeal/fleet/recovery/RollbackDetector.java
@@ -1,11 +1,11 @@
 package reeldeal.fleet.recovery;
 
+import java.util.HashSet;
 import java.util.Set;
-import java.util.TreeSet;
 
 /**
- * Detects a data directory that was emptied or restored from a backup, and may therefore lack a
- * vote or a write that the node has acknowledged. The detection has these steps:
+ * Decides what proves that a data directory was emptied or restored from a backup, and may
+ * therefore lack a vote or a write that the node has acknowledged. The proof has these steps:
  *
  * <ol>
  *   <li>At each start, before its store starts, the node increments a start count in a file of its
@@ -13,10 +13,12 @@
  *   <li>When the node registers with the fleet, it writes its count into the replicated log. No
  *       other node writes it. The peers thus have the count, committed or not, in their logs.
  *   <li>At the next start the node withholds its votes and asks all other nodes for the highest
- *       count of this node in their logs.
- *   <li>The node begins to ask before it registers the current start. With an intact directory, the
- *       counts that the others know are therefore lower than its own.
- *   <li>If a peer knows a count that is equal or higher, another process of this node has already
+ *       count of this node in their logs. Once its own copy is current, it reads the count there
+ *       too.
+ *   <li>The node does not register before all of this has ended, and what it hears later is
+ *       ignored. Until then no log can contain the current start, so that with an intact directory
+ *       the counts that are known are lower than its own.
+ *   <li>If a count is known that is equal or higher, another process of this node has already
  *       registered with that count, and the directory does not contain that start: it was emptied
  *       or restored. The node must then neither vote nor write.
  * </ol>
@@ -30,11 +32,11 @@
 public final class RollbackDetector {
     /** Whether the data directory can be trusted. */
     public enum Verdict {
-        /** The answers are not complete yet; the node must not vote. */
+        /** The answers are not complete yet; the node must neither vote nor register. */
         WAIT,
-        /** No peer that answered knows a later start; the node may vote. */
+        /** No peer that answered knows this start or a later one; the node may vote. */
         SOUND,
-        /** A peer knows a later start; the node must neither vote nor write. */
+        /** This start or a later one is known; the node must neither vote nor write. */
         ROLLED_BACK
     }
 
@@ -42,7 +44,8 @@
 
     private final long starts;
     private final long maxWaitMs;
-    private final Set<String> awaitedVoters;
+    private final Set<String> answered = new HashSet<>();
+    private Set<String> otherVoters;
     private long firstHeardAt = NEVER;
     private long mostStartsKnown = -1;
     private String mostStartsKnownBy;
@@ -57,7 +60,15 @@
     public RollbackDetector(long starts, Set<String> otherVoters, long maxWaitMs) {
         this.starts = starts;
         this.maxWaitMs = maxWaitMs;
-        awaitedVoters = new TreeSet<>(otherVoters);
+        this.otherVoters = Set.copyOf(otherVoters);
+    }
+
+    /**
+     * Changes the voters to wait for, when the group's configuration has changed since the one in
+     * the data directory.
+     */
+    public void setOtherVoters(Set<String> newVoters) {
+        otherVoters = Set.copyOf(newVoters);
     }
 
     /** Records that another voter was heard, with any message. */
@@ -72,25 +83,32 @@
      * never met this node.
      */
     public void onStartsReported(long now, String peer, long startsKnown) {
-        if (awaitedVoters.remove(peer)) {
+        answered.add(peer);
+        if (otherVoters.contains(peer)) {
             onPeerHeard(now);
         }
+        recordStartsKnown(peer, startsKnown);
+    }
+
+    /** Records the number of this node's starts in its own copy of the log, which is current. */
+    public void onOwnCopyRead(long startsKnown) {
+        recordStartsKnown("the group", startsKnown);
+    }
+
+    private void recordStartsKnown(String by, long startsKnown) {
         if (startsKnown > mostStartsKnown) {
             mostStartsKnown = startsKnown;
-            mostStartsKnownBy = peer;
+            mostStartsKnownBy = by;
         }
     }
 
-    /**
-     * Returns whether this node may vote. ROLLED_BACK is final; the caller acts on the first
-     * verdict other than WAIT.
-     */
+    /** Returns whether this node may vote. ROLLED_BACK is final. */
     public Verdict verdict(long now) {
         if (mostStartsKnown >= starts) {
             return Verdict.ROLLED_BACK;
         }
         boolean waitedEnough = firstHeardAt >= 0 && now - firstHeardAt >= maxWaitMs;
-        return awaitedVoters.isEmpty() || waitedEnough ? Verdict.SOUND : Verdict.WAIT;
+        return answered.containsAll(otherVoters) || waitedEnough ? Verdict.SOUND : Verdict.WAIT;
     }
 
     /** Returns why the data directory is not trusted and what to do about it, for the log. */
--- a/src/main/java/reeldeal/server/FleetWiring.java
+++ b/src/main/java/reeldeal/server/FleetWiring.java
@@ -7,6 +7,7 @@
 import reeldeal.fleet.disruption.DisruptionBudget;
 import reeldeal.fleet.node.FleetConfig;
 import reeldeal.fleet.node.FleetNode;
+import reeldeal.fleet.node.RollbackCheck;
 import reeldeal.fleet.recovery.Epoch;
 import reeldeal.fleet.takeover.DeduplicationWindow;
 import reeldeal.store.StoreNode;
@@ -42,13 +43,17 @@
      * Creates the broker's node of the fleet, without starting it. {@code configText} is the
      * configuration that the broker runs.
      */
-    FleetNode createNode(FleetConfig.WithStartCount fleetConfig, String configText) {
+    FleetNode createNode(
+            FleetConfig.WithStartCount fleetConfig,
+            RollbackCheck rollbackCheck,
+            String configText) {
         FleetHost host = new FleetHost(broker, config, zones);
         FleetNode node =
                 new FleetNode(
                         stateGroup.next(),
                         store,
                         fleetConfig,
+                        rollbackCheck,
                         ConfigVersion.of(configText),
                         host,
                         BrokerServer::log);
--- a/src/main/java/reeldeal/server/StoreStartup.java
+++ b/src/main/java/reeldeal/server/StoreStartup.java
@@ -54,11 +54,10 @@
                         : StartupRetry.call(
                                 "store: counting the start",
                                 () -> StartCounter.next(settings.store().directory()));
+        RollbackCheck rollbackCheck = null;
         if (fleetConfig != null) {
-            stateGroup
-                    .next()
-                    .submit(new RollbackCheck(stateGroup.next(), store, startCount)::begin)
-                    .sync();
+            rollbackCheck = new RollbackCheck(stateGroup.next(), store, startCount);
+            stateGroup.next().submit(rollbackCheck::begin).sync();
         }
         StartupRetry.call("store: listening", () -> store.start().sync());
         EventLoopGroup group = new NioEventLoopGroup(1);
@@ -76,7 +75,8 @@
         if (fleetConfig != null) {
             FleetConfig.WithStartCount countedFleet =
                     new FleetConfig.WithStartCount(fleetConfig, startCount);
-            node = wiring.createNode(countedFleet, new String(configBytes, StandardCharsets.UTF_8));
+            String configText = new String(configBytes, StandardCharsets.UTF_8);
+            node = wiring.createNode(countedFleet, rollbackCheck, configText);
         }
         TakeoverConfig takeover = settings.takeover();
         if (takeover != null) {
--- a/src/test/java/reeldeal/fleet/recovery/RollbackDetectorTest.java
+++ b/src/test/java/reeldeal/fleet/recovery/RollbackDetectorTest.java
@@ -34,6 +34,33 @@
         assertEquals(Verdict.SOUND, detector.verdict(11));
     }
 
+    /** Guards against a node that waits for ever for voters that the group has replaced. */
+    @Test
+    public void theDetectorWaitsForTheVotersOfTheLatestConfiguration() {
+        RollbackDetector detector = detector(2);
+        detector.onStartsReported(10, "d", 1);
+        assertEquals("d does not vote", Verdict.WAIT, detector.verdict(60_000));
+        detector.setOtherVoters(Set.of("d", "e"));
+        assertEquals(Verdict.WAIT, detector.verdict(60_000));
+        detector.onStartsReported(60_000, "e", 1);
+        assertEquals(Verdict.SOUND, detector.verdict(60_000));
+    }
+
+    @Test
+    public void aStartInTheNodesOwnCopyIsProofToo() {
+        RollbackDetector detector = detector(2);
+        detector.onOwnCopyRead(1);
+        assertEquals(Verdict.WAIT, detector.verdict(0));
+        detector.onOwnCopyRead(3);
+        assertEquals(Verdict.ROLLED_BACK, detector.verdict(0));
+        assertTrue(
+                detector.reason("a"),
+                detector.reason("a")
+                        .startsWith(
+                                "this folder went back: the group knows start 3 of a, and this process"
+                                        + " is start 2"));
+    }
+
     @Test
     public void aLaterStartThatAnyPeerKnowsIsFinal() {
         RollbackDetector detector = detector(2);
