--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +19,6 @@
 import reeldeal.core.RequestGuard;
 import reeldeal.core.RequestSubmitter;
 import reeldeal.decision.DecisionModule.EndpointListKind;
-import reeldeal.discovery.DiscoveryWatcher;
 import reeldeal.fleet.rollout.RolloutHealth;
 import reeldeal.http.HttpServer;
 import reeldeal.opensearch.OpenSearchFront;
@@ -58,8 +56,7 @@
     private final ReducerDriver driver;
     private final SearcherTransport searchers;
     private final Consumer<Event.EndpointsChanged> discoveryConsumer;
-    private DiscoveryWatcher watcher;
-    private DiscoveryWatcher nextWatcher;
+    private final DiscoverySwitch discovery;
     private final List<HttpServer> servers = new ArrayList<>();
     private final Map<Long, Consumer<Reply>> replies = new HashMap<>();
     private long nextRequestId = 1;
@@ -135,8 +132,13 @@
                                 openSearchKinds);
         guard.setInputReader(() -> servers.forEach(HttpServer::readDelayedInput));
         searchers.setGuard(guard);
-        this.watcher =
-                config.discovery() == null ? null : createWatcher(config.discovery(), () -> {});
+        this.discovery =
+                new DiscoverySwitch(
+                        group,
+                        config.discovery(),
+                        config.settings().seed(),
+                        this::onDiscoveryEvent,
+                        BrokerServer::log);
     }
 
     /** Starts listening and serving. Throws if a listen address cannot be bound. */
@@ -156,9 +158,7 @@
                                         new Event.EndpointsChanged(
                                                 EndpointListKind.CACHED, config.knownSearchers()));
                             }
-                            if (watcher != null) {
-                                watcher.start();
-                            }
+                            discovery.start();
                             loop.scheduleWithFixedDelay(
                                     searchers::sweep,
                                     MAINTENANCE_INTERVAL_MS,
@@ -213,55 +213,20 @@
                                 shortestObjectiveMs * CONNECT_TIMEOUT_FRACTION));
     }
 
-    private DiscoveryWatcher createWatcher(InetSocketAddress address, Runnable onFirstList) {
-        return new DiscoveryWatcher(
-                group,
-                address,
-                config.settings().seed(),
-                event -> {
-                    if (discoveryConsumer != null
-                            && event instanceof Event.EndpointsChanged changed) {
-                        discoveryConsumer.accept(changed);
-                    } else {
-                        enqueue(event);
-                    }
-                },
-                BrokerServer::log,
-                onFirstList);
+    private void onDiscoveryEvent(Event event) {
+        if (discoveryConsumer != null && event instanceof Event.EndpointsChanged changed) {
+            discoveryConsumer.accept(changed);
+        } else {
+            enqueue(event);
+        }
     }
 
     /**
-     * Switches to the discovery address of a new configuration. The current endpoint list and the
-     * old watcher stay in use until the new watcher has received its first list. All other settings
-     * of a configuration take effect only at a restart.
+     * Switches to the discovery address of a new configuration. All other settings of a
+     * configuration take effect only at a restart.
      */
     void reload(BrokerConfig newConfig) {
-        loop.execute(
-                () -> {
-                    InetSocketAddress newAddress = newConfig.discovery();
-                    if (watcher == null || newAddress == null) {
-                        return;
-                    }
-                    if (nextWatcher != null) {
-                        nextWatcher.stop();
-                        nextWatcher = null;
-                    }
-                    if (newAddress.equals(watcher.address())) {
-                        log("reloaded: discovery stays at " + newAddress);
-                        return;
-                    }
-                    log("reloaded: moving to discovery at " + newAddress);
-                    nextWatcher =
-                            createWatcher(
-                                    newAddress,
-                                    () -> {
-                                        watcher.stop();
-                                        watcher = nextWatcher;
-                                        nextWatcher = null;
-                                        log("discovery has moved to " + newAddress);
-                                    });
-                    nextWatcher.start();
-                });
+        loop.execute(() -> discovery.switchTo(newConfig.discovery()));
     }
 
     /**
@@ -284,12 +249,7 @@
         shutdown.drain(loop, servers, this::isIdle);
         loop.submit(
                         () -> {
-                            if (watcher != null) {
-                                watcher.stop();
-                            }
-                            if (nextWatcher != null) {
-                                nextWatcher.stop();
-                            }
+                            discovery.stop();
                             searchers.close();
                             guard.checkNothingOpen();
                         })
