Stop serving from a copy that no longer follows its group

Cause: a halted node (its folder went back, or a write failed for a reason that is not the disk's) and one that met an entry it cannot read never take a change again, but only consensus knew. UpdateForwarder and WriteForwarder asked RaftNode.leader(), which stays the last one known; FleetNode went on with heartbeats; a node that halted before it was current served its stale copy after 2 s; nobody told the broker.

Change: StoreStatus says in one place when a copy is frozen and what it may still be used for: operators' requests, and votes if the node has not halted. Everything else asks isFrozen or listens to whenFrozen: no write is forwarded, no message exchanged with other nodes, no stale copy served; DNS answers SERVFAIL but for the endpoint view; the member gives up its lease and waits for no permit; BrokerServer.suspend is not ready, rejects all new queries through the decision module's quota, and RequestGuard refuses attempts once the grace of drained searchers is over.

--- a/src/main/java/reeldeal/core/RequestGuard.java
+++ b/src/main/java/reeldeal/core/RequestGuard.java
@@ -24,7 +24,9 @@
         /** The attempt's deadline or its deduplication window is over. */
         TOO_LATE,
         /** Another broker may own the request's record. */
-        NOT_OWNED
+        NOT_OWNED,
+        /** The broker no longer learns which searchers may be used. */
+        SUSPENDED
     }
 
     /** What must never happen. */
@@ -64,6 +66,7 @@
     private final Map<Violation, Integer> violations = new EnumMap<>(Violation.class);
     private Predicate<Effect.Send> isOwned = send -> true;
     private Runnable inputReader = () -> {};
+    private double sendUntilMs = Double.POSITIVE_INFINITY;
     private double loggedAtMs = Double.NEGATIVE_INFINITY;
 
     /** Creates a guard without requests. */
@@ -85,6 +88,11 @@
         inputReader = reader;
     }
 
+    /** Refuses all attempts after this time. */
+    public void sendOnlyUntil(double timeMs) {
+        sendUntilMs = timeMs;
+    }
+
     /** Records that a client waits for the answer to a request. */
     public void opened(Request request) {
         open.put(request.id(), request);
@@ -117,6 +125,9 @@
         if (!open.containsKey(send.request().id())) {
             return Refusal.REQUEST_ENDED;
         }
+        if (clock.getAsDouble() > sendUntilMs) {
+            return Refusal.SUSPENDED;
+        }
         if (!send.mayBeWritten(clock.getAsDouble())) {
             return Refusal.TOO_LATE;
         }
--- a/src/main/java/reeldeal/fleet/node/FleetNode.java
+++ b/src/main/java/reeldeal/fleet/node/FleetNode.java
@@ -178,6 +178,7 @@
 
     /** Registers the node's callbacks at the store and begins its periodic ticks. */
     public void start() {
+        store.whenFrozen(this::onCopyFrozen);
         store.onChange(
                 changes -> {
                     if (changes.stream()
@@ -205,6 +206,15 @@
 
     // ---- state from the store ----
 
+    /**
+     * Gives up the membership of this process: it renews its lease no longer, and a request to
+     * terminate waits for no permit.
+     */
+    private void onCopyFrozen() {
+        exitOrdered.countDown();
+        viewListeners.forEach(listener -> listener.accept(fleet, null));
+    }
+
     private void scheduleRefresh() {
         if (!refreshScheduled) {
             refreshScheduled = true;
@@ -217,6 +227,9 @@
     }
 
     private void refreshView() {
+        if (store.isFrozen()) {
+            return;
+        }
         Map<String, FleetView.Value> values = new TreeMap<>();
         store.valuesUnder(FleetView.ROOT)
                 .forEach(
@@ -242,6 +255,9 @@
     }
 
     private void tick() {
+        if (store.isFrozen()) {
+            return;
+        }
         long now = FleetClock.nowMs();
         leadership.updateLeader();
         if (store.version() != appliedVersion || store.isCurrent()) {
@@ -264,6 +280,9 @@
     // ---- membership of this process ----
 
     private void executeMemberActions() {
+        if (store.isFrozen()) {
+            return;
+        }
         leaseUntil = self.leaseUntil();
         self.drainActions().forEach(this::execute);
     }
--- a/src/main/java/reeldeal/server/BrokerServer.java
+++ b/src/main/java/reeldeal/server/BrokerServer.java
@@ -62,6 +62,7 @@
     private long nextRequestId = 1;
     private boolean ready;
     private volatile boolean drainedByFleet;
+    private boolean suspended;
     private BrokerMetrics metrics;
     private RequestSubmitter submitter = this;
     private volatile Map<String, Event.ImportedServerStats> sharedStats = Map.of();
@@ -285,6 +286,22 @@
         drainedByFleet = drained;
     }
 
+    /**
+     * Stops serving for good, because the broker no longer learns which searchers may be used. From
+     * now on it is not ready and rejects new requests. Open requests may still use the searchers
+     * for the grace that a drained searcher has. May be called on any thread.
+     */
+    void suspend() {
+        loop.execute(
+                () -> {
+                    suspended = true;
+                    guard.sendOnlyUntil(clock.now() + config.settings().rules().drainGraceMs());
+                    double retryAfterMs = config.settings().limits().maxRetryAfterMs();
+                    int brokers = config.settings().brokers();
+                    enqueue(new Event.AdmissionQuotaChanged(0, retryAfterMs, brokers, 0, ""));
+                });
+    }
+
     /**
      * Starts counting requests and attempts for the comparison of brokers in a rollout. Must be
      * called before the broker serves.
@@ -413,7 +430,7 @@
 
     @Override
     public boolean ready() {
-        return ready && !drainedByFleet && !shutdown.isDraining();
+        return ready && !suspended && !drainedByFleet && !shutdown.isDraining();
     }
 
     // ---- ticks ----
--- a/src/main/java/reeldeal/server/StoreStartup.java
+++ b/src/main/java/reeldeal/server/StoreStartup.java
@@ -71,6 +71,7 @@
         if (configFile != null) {
             storedConfiguration.storeOnceLeading(new String(configFile, StandardCharsets.UTF_8));
         }
+        stateGroup.next().submit(() -> store.whenFrozen(broker::suspend)).sync();
         FleetWiring wiring = new FleetWiring(stateGroup, store, broker, config, zones);
         if (fleetConfig != null) {
             FleetConfig.WithStartCount countedFleet =
--- a/src/main/java/reeldeal/store/KeyValueCodec.java
+++ b/src/main/java/reeldeal/store/KeyValueCodec.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import reeldeal.consensus.Entry;
 
 /** Encodes and decodes the commands and snapshots of the {@link KeyValueState}. */
 final class KeyValueCodec {
@@ -17,6 +18,21 @@
 
     private KeyValueCodec() {}
 
+    /** Returns the changes of log entries, up to the first entry that this program cannot read. */
+    static List<Change> changesOf(List<Entry> entries) {
+        List<Change> changes = new ArrayList<>();
+        for (Entry entry : entries) {
+            try {
+                if (entry.data().length > 0) {
+                    changes.addAll(decode(entry.data()).changes());
+                }
+            } catch (IOException | KeyValueState.UnsupportedFormatException e) {
+                break; // of a newer program version; later entries may depend on it
+            }
+        }
+        return changes;
+    }
+
     /** Receives the content of a snapshot while it is decoded. */
     interface SnapshotReader {
         void version(long version);
--- a/src/main/java/reeldeal/store/LogApplier.java
+++ b/src/main/java/reeldeal/store/LogApplier.java
@@ -116,9 +116,9 @@
                         + entry.index()
                         + " has a command format that this program does not support ("
                         + cause.getMessage()
-                        + "); this node stops applying entries and serves version "
+                        + "); this node stops applying entries and serves no more from version "
                         + state.version()
-                        + ", marked as stale; start the newer version of the program on this node");
+                        + "; start the newer version of the program on this node");
         stopped = true;
         committed.clear();
     }
--- a/src/main/java/reeldeal/store/PeerMessageRouter.java
+++ b/src/main/java/reeldeal/store/PeerMessageRouter.java
@@ -63,6 +63,9 @@
         if (status.isClosed()) {
             return;
         }
+        if (status.isFrozen() && !(message instanceof PeerMessage.AdminRequest)) {
+            return;
+        }
         if (message instanceof PeerMessage.Forward forward) {
             if (isFromPeerToThisNode(forward.to(), forward.from())) {
                 onForward(forward);
--- a/src/main/java/reeldeal/store/RaftDriver.java
+++ b/src/main/java/reeldeal/store/RaftDriver.java
@@ -165,15 +165,14 @@
 
     @Override
     public void onDiskFailure(Exception cause) {
-        halt(
-                cause.getMessage()
-                        + "; this node serves reads but writes nothing until it is restarted");
+        halt(cause.getMessage() + "; this node takes no part in the group until it is restarted");
     }
 
-    /** Stops taking part in the group for good; the node goes on serving its present state. */
+    /** Stops taking part in the group for good, and freezes the copy; see {@link StoreStatus}. */
     void halt(String reason) {
-        if (status.halt()) {
+        if (status.isActive()) {
             log.accept("store: " + reason);
+            status.halt();
             writes.abandonAll();
         }
     }
@@ -256,7 +255,7 @@
     private void updateStatus() {
         peers.update(raft.configuration(), applier.state());
         if (applier.isStopped()) {
-            status.stopServing();
+            status.freeze();
             writes.abandonAll();
             transferToNewerProgram();
             return;
--- a/src/main/java/reeldeal/store/StoreNode.java
+++ b/src/main/java/reeldeal/store/StoreNode.java
@@ -4,13 +4,11 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import reeldeal.consensus.Entry;
 import reeldeal.consensus.GroupConfiguration;
 import reeldeal.consensus.RaftNode;
 import reeldeal.consensus.RaftSettings;
@@ -212,7 +210,7 @@
 
     /** Serves the copy on this node's disk, unless the group was reached in time. */
     private void serveStaleCopy() {
-        if (!status.hasBeenCurrent() && !status.isClosed()) {
+        if (!status.hasBeenCurrent() && !status.isClosed() && !status.isFrozen()) {
             KeyValueState state = applier.state();
             staleStart.createCopy(state.freeze(), raft.entriesAfter(state.version()));
         }
@@ -259,17 +257,7 @@
 
     /** Returns the changes in this node's log that are not yet applied, committed or not. */
     public List<Change> unappliedChanges() {
-        List<Change> changes = new ArrayList<>();
-        for (Entry entry : raft.entriesAfter(version())) {
-            try {
-                if (entry.data().length > 0) {
-                    changes.addAll(KeyValueCodec.decode(entry.data()).changes());
-                }
-            } catch (IOException | KeyValueState.UnsupportedFormatException e) {
-                break; // of a newer program version; later entries may depend on it
-            }
-        }
-        return changes;
+        return KeyValueCodec.changesOf(raft.entriesAfter(version()));
     }
 
     /** Sets whether this node only follows: it then neither votes nor becomes a candidate. */
@@ -318,6 +306,19 @@
         status.whenCurrent(listener);
     }
 
+    /**
+     * Whether this node's copy will never follow the group's log again in this process; {@link
+     * StoreStatus} says what the copy may still be used for.
+     */
+    public boolean isFrozen() {
+        return status.isFrozen();
+    }
+
+    /** Runs a listener once the copy is frozen, immediately if it is already. */
+    public void whenFrozen(Runnable listener) {
+        status.whenFrozen(listener);
+    }
+
     /** Returns the name of the leader, or null if it is not known. */
     public String leader() {
         return raft.leader();
@@ -396,6 +397,9 @@
      * Even if it returns true they may be lost.
      */
     public boolean sendToPeer(String node, char topic, byte[] bytes) {
+        if (status.isFrozen()) {
+            return false;
+        }
         byte[] content = new byte[1 + bytes.length];
         content[0] = (byte) topic;
         System.arraycopy(bytes, 0, content, 1, bytes.length);
@@ -466,7 +470,7 @@
 
     /**
      * Halts this node because its data directory lacks data that it once held. The node stops
-     * taking part in the group, and serves its present state.
+     * taking part in the group, and its copy is frozen.
      */
     public void markFolderUntrusted(String reason) {
         driver.halt(reason);
--- a/src/main/java/reeldeal/store/StoreStatus.java
+++ b/src/main/java/reeldeal/store/StoreStatus.java
@@ -7,14 +7,30 @@
 /**
  * The status of a node: whether it accepts writes, is current, or has stopped taking part in the
  * group. Belongs to the event loop.
+ *
+ * <p>A node's copy of the state is <em>frozen</em> once it will never follow the group's log again
+ * in this process: the node has halted, because its data directory was rolled back or failed, or it
+ * met an entry that this program cannot read. What a frozen copy may still do:
+ *
+ * <ul>
+ *   <li>answer operators' requests to this node, and be written to a backup;
+ *   <li>if the node has not halted, vote and store the log, which others may need to commit.
+ * </ul>
+ *
+ * <p>It does nothing else, because it would act on what the group has changed since: it proposes
+ * and forwards no write, exchanges no messages with other nodes, is not served as a stale copy,
+ * answers no DNS message with data, and its broker renews no lease, accepts no request and soon
+ * sends nothing. All of these ask {@link #isFrozen} or listen to {@link #whenFrozen}.
  */
 final class StoreStatus {
     private final List<Runnable> leadingListeners = new ArrayList<>();
     private final List<Runnable> currentListeners = new ArrayList<>();
+    private final List<Runnable> frozenListeners = new ArrayList<>();
     private boolean writer;
     private boolean current;
     private boolean hasBeenCurrent;
     private boolean halted;
+    private boolean frozen;
     private boolean closed;
 
     /** The transitions that an update caused. */
@@ -41,6 +57,20 @@
         return !closed && !halted;
     }
 
+    /** Whether the copy will never follow the group's log again in this process. */
+    boolean isFrozen() {
+        return frozen;
+    }
+
+    /** Runs a listener once the copy is frozen, immediately if it is already. */
+    void whenFrozen(Runnable listener) {
+        if (frozen) {
+            listener.run();
+        } else {
+            frozenListeners.add(listener);
+        }
+    }
+
     void whenLeading(Runnable listener) {
         leadingListeners.add(listener);
         if (writer) {
@@ -53,22 +83,26 @@
     }
 
     /**
-     * Stops taking part in the group for good, while reads are still served from the present state;
-     * returns false if the node had stopped before.
+     * Stops taking part in the group for good, and freezes the copy; returns false if the node had
+     * stopped before.
      */
     boolean halt() {
         if (!isActive()) {
             return false;
         }
         halted = true;
-        stopServing();
+        freeze();
         return true;
     }
 
-    /** Marks the node as neither accepting writes nor current. */
-    void stopServing() {
+    /** Freezes the copy: the node neither accepts writes nor is current from now on. */
+    void freeze() {
         writer = false;
         current = false;
+        if (!frozen) {
+            frozen = true;
+            List.copyOf(frozenListeners).forEach(Runnable::run);
+        }
     }
 
     void close() {
--- a/src/main/java/reeldeal/store/WriteForwarder.java
+++ b/src/main/java/reeldeal/store/WriteForwarder.java
@@ -55,6 +55,10 @@
             List<KeyValueState.Precondition> preconditions,
             List<Change> changes,
             Consumer<StoreNode.Result> callback) {
+        if (status.isFrozen()) {
+            callback.accept(new StoreNode.Rejected("this node's copy no longer follows the group"));
+            return;
+        }
         // The size limit is checked with the longest session name that the write can get.
         KeyValueState.Command largest =
                 new KeyValueState.Command(session + ":00", 0, preconditions, changes);
@@ -78,7 +82,7 @@
                 // Not write(): it turns NotLeader into Rejected, which would be wrong if an
                 // earlier attempt is in another node's log.
                 proposer.propose(attempt.command(), result -> onResult(attempt, result));
-            } else if (raft.leader() != null && !raft.leader().equals(node)) {
+            } else if (!status.isFrozen() && raft.leader() != null && !raft.leader().equals(node)) {
                 forward(attempt, raft.leader());
             }
         }
--- a/src/main/java/reeldeal/zones/MessageHandler.java
+++ b/src/main/java/reeldeal/zones/MessageHandler.java
@@ -104,6 +104,11 @@
             reply.send(responder.code(Rcode.BADVERS)); // RFC 6891, section 6.1.3
             return;
         }
+        if (store.isFrozen() && !isEndpointViewQuery(message)) {
+            // The zones may have changed since, and an update could not be shown here.
+            reply.send(responder.code(Rcode.SERVFAIL));
+            return;
+        }
         switch (message.opcode) {
             case Message.QUERY -> query(message, responder, from.getAddress(), tcp, reply);
             case Message.UPDATE -> update(message, responder, from, reply, bytes);
@@ -112,6 +117,12 @@
         }
     }
 
+    private static boolean isEndpointViewQuery(Message message) {
+        return message.opcode == Message.QUERY
+                && message.questions.size() == 1
+                && message.questions.get(0).recordClass() == Rr.CH;
+    }
+
     private void query(
             Message message,
             Responder responder,
--- /dev/null
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -0,0 +1,195 @@
+package reeldeal.faultinjection;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import reeldeal.dns.Rr;
+
+/**
+ * Tests with real processes what a broker still does whose folder was replaced by an older copy.
+ */
+public class RolledBackFolderTest {
+    private static final Path SCENARIO = Path.of("src/test/resources/drill/rolled-back.json");
+    private static final String NODE = "b1";
+    private static final String OTHER_NODE = "b0";
+    private static final String REPORT = "store: this folder went back";
+    private static final int TIMEOUT_MS = 60_000;
+    private static final int ANSWER_TIMEOUT_MS = 5_000;
+
+    /** The latest time at which a broker must know of a change, and a drain's grace, ms. */
+    private static final int TOLD_MS = 6_000;
+
+    private static final int GRACE_MS = 550;
+
+    /** The longest check of a folder at a start, and the write of the registration, ms. */
+    private static final int REGISTERED_MS = 2_000;
+
+    private static final int QUERIES = 20;
+
+    @Rule public final TemporaryFolder folder = new TemporaryFolder();
+
+    private final SplittableRandom random = new SplittableRandom(1);
+    private History history;
+    private SearcherFleet searchers;
+    private ProcessFleet fleet;
+    private BrokerProcess broker;
+    private int queries;
+
+    @Before
+    public void start() throws Exception {
+        Scenario scenario = ScenarioReader.read(SCENARIO);
+        Path root = folder.getRoot().toPath();
+        history = new History(root.resolve("history.txt"));
+        searchers = new SearcherFleet(scenario, random, history);
+        NodeFiles files = new NodeFiles(root, scenario, ProcessFleet.nodeNames(scenario));
+        files.writeZone(searchers.zoneRecords());
+        files.writeBrokerConfig();
+        List<String> command = new Programs(null, null).initialCommand();
+        fleet = new ProcessFleet(scenario, files, command, random, history);
+        broker = fleet.broker(NODE);
+        fleet.start();
+        for (BrokerProcess started : fleet.brokers()) {
+            await(started.name + " is ready", () -> health(started).equals("200"));
+        }
+        await("the node serves", this::isNodeServing);
+    }
+
+    @After
+    public void stop() throws Exception {
+        fleet.close();
+        searchers.close();
+        history.close();
+    }
+
+    private void await(String what, Callable<Boolean> condition) throws Exception {
+        long deadline = history.elapsedMs() + TIMEOUT_MS;
+        while (!condition.call()) {
+            assertTrue(what + ": " + logOfNode(), history.elapsedMs() < deadline);
+            Thread.sleep(20);
+        }
+    }
+
+    private List<History.Event> eventsOfNode() throws IOException {
+        Path file = folder.getRoot().toPath().resolve("history.txt");
+        return History.read(file).stream().filter(e -> e.source().equals(NODE)).toList();
+    }
+
+    private String logOfNode() throws IOException {
+        return String.join("\n", eventsOfNode().stream().map(History.Event::detail).toList());
+    }
+
+    /** Returns whether the node serves, according to the group. */
+    private boolean isNodeServing() {
+        return new OperatorConsole(fleet, history)
+                .list("fleet members").stream()
+                        .anyMatch(
+                                member ->
+                                        member.get("name").equals(NODE)
+                                                && member.get("state").equals("serving"));
+    }
+
+    /**
+     * Puts back a copy of the folder that lacks the latest starts, and awaits that it is noticed.
+     */
+    private void putBackOlderFolder() throws Exception {
+        Path directory = folder.getRoot().toPath().resolve(NODE);
+        broker.kill();
+        DiskFaults.backUp(directory);
+        for (int i = 0; i < 2; i++) {
+            broker.start();
+            await("is ready", () -> health(broker).equals("200"));
+            Thread.sleep(REGISTERED_MS);
+            broker.kill();
+        }
+        DiskFaults.restore(directory);
+        broker.start();
+        await("the rollback is noticed", () -> reports() == 1);
+        await("serves", broker::isServing);
+        Thread.sleep(GRACE_MS);
+    }
+
+    private long reports() throws IOException {
+        return eventsOfNode().stream().filter(e -> e.isLogWithPrefix(REPORT)).count();
+    }
+
+    private static String get(BrokerProcess broker, byte[] request) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), broker.port)) {
+            socket.setSoTimeout(ANSWER_TIMEOUT_MS);
+            socket.getOutputStream().write(request);
+            return TextCodec.readHttp(socket.getInputStream()).split(" ")[0];
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private static String health(BrokerProcess broker) {
+        return get(broker, TextCodec.request("GET", "/_health", "", ""));
+    }
+
+    /** Asks the node for shards on all searchers' cells, and returns the status. */
+    private String query() {
+        String headers = "X-Correlation-Id: q" + queries++ + "\r\nX-Time-Left-Ms: 2000\r\n";
+        String body =
+                "{\"shards\":[{\"shard\":1,\"weight\":0.5},{\"shard\":2,\"weight\":0.5}],"
+                        + "\"q\":\"x\"}";
+        return get(broker, TextCodec.request("POST", "/notice-search", headers, body));
+    }
+
+    private String dns(BrokerProcess server, byte[] message) {
+        try (ZoneClient client = new ZoneClient(server.dnsPort)) {
+            client.setTimeoutMs(ANSWER_TIMEOUT_MS);
+            client.send(message);
+            client.read();
+            return "NOERROR";
+        } catch (IOException e) {
+            return e.getMessage();
+        }
+    }
+
+    private String removeSearcher(BrokerProcess server, int number) {
+        String record = "del _searcher._tcp SRV 0 0 " + searchers.port(number) + " s" + number;
+        return dns(server, ZoneClient.update(NodeFiles.ORIGIN + ".", List.of(record)));
+    }
+
+    /** Guards against a broker that serves on, ready, from a copy that follows nobody. */
+    @Test
+    public void aBrokerWhoseFolderWentBackIsNotReadyAndServesNothing() throws Exception {
+        putBackOlderFolder();
+        List<String> wrong = new ArrayList<>();
+        expect(wrong, "/_health", "503", health(broker));
+        expect(wrong, "a query of the zone", "response code 2", soa());
+        expect(wrong, "an update of the zone", "response code 2", removeSearcher(broker, 1));
+        assertEquals("NOERROR", removeSearcher(fleet.broker(OTHER_NODE), 2));
+        Thread.sleep(TOLD_MS + GRACE_MS);
+        for (int i = 0; i < QUERIES; i++) {
+            expect(wrong, "query " + i, "503", query());
+        }
+        expect(wrong, "/_health", "503", health(broker));
+        assertEquals(List.of(), wrong);
+        broker.terminate();
+        await("it ends when it is told to", () -> !broker.isAlive());
+    }
+
+    private static void expect(List<String> wrong, String what, String expected, String found) {
+        if (!found.endsWith(expected)) {
+            wrong.add(what + ": expected " + expected + ", found " + found);
+        }
+    }
+
+    private String soa() {
+        return dns(broker, ZoneClient.question(NodeFiles.ORIGIN + ".", Rr.SOA).toBytes());
+    }
+}
--- a/src/test/java/reeldeal/store/StoreNodeTest.java
+++ b/src/test/java/reeldeal/store/StoreNodeTest.java
@@ -5,6 +5,7 @@
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.After;
@@ -15,6 +16,8 @@
 
 /** Tests a group of three nodes over loopback, some of which are killed and restarted. */
 public class StoreNodeTest {
+    private static final int STALE_MARGIN_MS = 500;
+
     @Rule public final TemporaryFolder folder = new TemporaryFolder();
 
     private StoreGroup group;
@@ -220,6 +223,52 @@
             assertEquals("1", group.callOnLoop(() -> node.get("k")));
             assertEquals(false, group.callOnLoop(node::isCurrent));
             assertEquals(false, group.callOnLoop(node::acceptsWrites));
+            assertEquals(true, group.callOnLoop(node::isFrozen));
         }
     }
+
+    /** Guards against a node that acts on a copy that no longer follows the group. */
+    @Test
+    public void aHaltedNodeForwardsNoWritesAndExchangesNoMessages() throws Exception {
+        group.startAll();
+        StoreNode writer = group.writer();
+        String haltedName = group.anyNode(node -> group.node(node) != writer);
+        StoreNode halted = group.node(haltedName);
+        List<String> received = new ArrayList<>();
+        List<String> reported = new ArrayList<>();
+        group.await(() -> halted.isCurrent() && writer.sendToPeer(haltedName, 'x', new byte[0]));
+        group.runOnLoop(
+                () -> {
+                    halted.onPeerMessage('x', (from, bytes) -> received.add(from));
+                    halted.whenFrozen(() -> reported.add("halted"));
+                    halted.markFolderUntrusted("test");
+                    halted.whenFrozen(() -> reported.add("already halted"));
+                    writer.sendToPeer(haltedName, 'x', new byte[0]);
+                });
+        assertRejected(
+                group.resultOf(
+                        callback ->
+                                halted.submit(List.of(), List.of(new Change("k", "1")), callback)));
+        assertEquals(
+                false, group.callOnLoop(() -> halted.sendToPeer(writer.node(), 'x', new byte[0])));
+        assertCommitted(group.write(writer, "k", "2"));
+        assertTrue(group.sendAdminRequest(haltedName, "store nodes").text().contains("leads"));
+        assertEquals(List.of("halted", "already halted"), reported);
+        assertEquals(List.of(), received);
+    }
+
+    /** Guards against a stale copy that is served although its node was found to be rolled back. */
+    @Test
+    public void aNodeThatHaltsBeforeItReachesTheGroupServesNoStaleCopy() throws Exception {
+        List<String> served = new ArrayList<>();
+        StoreNode alone = group.start("a");
+        group.runOnLoop(
+                () -> {
+                    alone.whenServingStale(copy -> served.add("stale"));
+                    alone.markFolderUntrusted("test");
+                });
+        Thread.sleep(StoreNode.STALE_START_MS + STALE_MARGIN_MS);
+        assertEquals(List.of(), group.callOnLoop(() -> List.copyOf(served)));
+        assertEquals(false, group.callOnLoop(alone::hasAppliedState));
+    }
 }
