Keep a rolled-back folder untrusted over further starts

What operators saw: a node whose folder was replaced by an older copy halted, as it should. Started again twice, it was a member as any other: it voted, registered and served, on the folder that had forgotten its votes.

Cause: the proof of a rollback is the count of starts, and each start counts, also those that end halted. An older copy that lacks two starts is halted at the first two and passes at the third.

--- a/src/main/java/reeldeal/fleet/node/RollbackCheck.java
+++ b/src/main/java/reeldeal/fleet/node/RollbackCheck.java
@@ -103,6 +103,10 @@
      * Asks all other nodes; learners' answers count too, although the check does not wait for them.
      */
     private void poll() {
+        if (store.isFrozen()) {
+            polling.cancel(false);
+            return;
+        }
         Set<String> voters = otherVoters();
         detector.setOtherVoters(voters);
         if (voters.stream().anyMatch(voter -> store.levelOf(voter) > 0)) {
--- a/src/main/java/reeldeal/store/StoreNode.java
+++ b/src/main/java/reeldeal/store/StoreNode.java
@@ -76,6 +76,7 @@
     private final WriteForwarder forwarder;
     private final PeerMessageRouter router;
     private final StaleStart staleStart;
+    private final UntrustedDirectory untrustedDirectory;
 
     /**
      * Opens the node's data directory.
@@ -100,7 +101,8 @@
         this.log = log;
         loop = new StoreLoop(group);
         identity = NodeIdentity.ofNewIncarnation(config.node());
-        directory = openDirectory();
+        directory = NodeDirectory.open(config, log);
+        untrustedDirectory = new UntrustedDirectory(config.directory(), loop, log);
         RaftNode.PersistentState persistedState = directory.openResult().state();
         raft =
                 new RaftNode(
@@ -154,24 +156,6 @@
         whenLeading(admin::onLeading);
     }
 
-    private DataDirectory openDirectory() throws IOException {
-        String owner = config.group() + " " + config.node();
-        LegacyFolderUpgrade.upgradeIfNeeded(config.directory(), owner, log);
-        DataDirectory opened =
-                DataDirectory.open(
-                        config.directory(), owner, config.firstConfiguration(), SEGMENT_BYTES);
-        if (opened.openResult().truncatedBytes() > 0) {
-            RaftNode.PersistentState persistedState = opened.openResult().state();
-            log.accept(
-                    "store: cut a torn write of "
-                            + opened.openResult().truncatedBytes()
-                            + " bytes after version "
-                            + (persistedState.snapshot().index()
-                                    + persistedState.entries().size()));
-        }
-        return opened;
-    }
-
     /**
      * Sets whether the disk requests that arrive during a write are written together, with one
      * flush. It is disabled only by a benchmark that measures the difference.
@@ -194,6 +178,7 @@
 
     private void onBound() {
         applier.publishAll();
+        haltIfRolledBackEarlier();
         driver.start();
         if (config.backup() != null) {
             loop.scheduleAtFixedRate(
@@ -208,6 +193,12 @@
         loop.scheduleAtFixedRate(TICK_MS, driver::tick);
     }
 
+    private void haltIfRolledBackEarlier() {
+        if (untrustedDirectory.reasonOfEarlierStart() != null) {
+            driver.halt(untrustedDirectory.reasonOfEarlierStart() + " (found at an earlier start)");
+        }
+    }
+
     /** Serves the copy on this node's disk, unless the group was reached in time. */
     private void serveStaleCopy() {
         if (!status.hasBeenCurrent() && !status.isClosed() && !status.isFrozen()) {
@@ -470,10 +461,14 @@
 
     /**
      * Halts this node because its data directory lacks data that it once held. The node stops
-     * taking part in the group, and its copy is frozen.
+     * taking part in the group, and its copy is frozen, now and after each later start on this
+     * directory.
      */
     public void markFolderUntrusted(String reason) {
-        driver.halt(reason);
+        if (!status.isFrozen()) {
+            driver.halt(reason);
+            untrustedDirectory.remember(reason);
+        }
     }
 
     /** Compacts the log up to the present state; a separate thread creates the snapshot. */
--- a/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -38,6 +38,7 @@
     private static final int REGISTERED_MS = 2_000;
 
     private static final int QUERIES = 20;
+    private static final int RESTARTS = 4;
 
     @Rule public final TemporaryFolder folder = new TemporaryFolder();
 
@@ -101,6 +102,12 @@
                                                 && member.get("state").equals("serving"));
     }
 
+    private void restart() throws Exception {
+        broker.kill();
+        broker.start();
+        await("serves", broker::isServing);
+    }
+
     /**
      * Puts back a copy of the folder that lacks the latest starts, and awaits that it is noticed.
      */
@@ -192,4 +199,16 @@
     private String soa() {
         return dns(broker, ZoneClient.question(NodeFiles.ORIGIN + ".", Rr.SOA).toBytes());
     }
+
+    /** Guards against a folder that counts as sound once enough starts have been counted on it. */
+    @Test
+    public void aFolderThatWentBackIsNotTrustedAfterFurtherStarts() throws Exception {
+        putBackOlderFolder();
+        for (int i = 0; i < RESTARTS; i++) {
+            restart();
+            Thread.sleep(REGISTERED_MS);
+            assertEquals("/_health after restart " + i + logOfNode(), "503", health(broker));
+            assertEquals("reports after restart " + i, i + 2, reports());
+        }
+    }
 }
