Write a node's count of starts whole, and flush its name

What was seen: with a disk that takes only parts of writes, a member's count of starts became 410 instead of 4100042. A later start on it has a count below the one that the group knows, which is the proof of a rollback on a sound folder.

Cause: StartCounter wrote with one FileChannel.write, which may take fewer bytes than it is given, and did not flush the directory after the rename, so that a loss of power could bring the earlier count back.

Change: it uses DurableFiles.replace as the other files of the folder do, which writes on until all bytes are taken and flushes the directory. The library of failing system calls knows short writes to files; the soak's random faults stay as they were.

--- a/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
+++ b/src/main/java/reeldeal/faultinjection/soak/FaultSoak.java
@@ -73,10 +73,11 @@
     /** How long before a kill a write to a file is torn, ms. */
     private static final int TEAR_MS = 60;
 
-    /** The kinds of faults after which a process goes on. */
+    /** The kinds of faults that are injected for a while, and after which a process goes on. */
     private static final List<SyscallFaults.Kind> PASSING_FAULTS =
             Arrays.stream(SyscallFaults.Kind.values())
                     .filter(kind -> kind != SyscallFaults.Kind.TEAR_FILE_WRITE)
+                    .filter(kind -> kind != SyscallFaults.Kind.SHORT_FILE_WRITE)
                     .toList();
 
     /** A task of the schedule. */
--- a/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SyscallFaults.java
@@ -43,7 +43,9 @@
         /**
          * Half of a write to a file happens, and its thread never goes on; for use before a kill.
          */
-        TEAR_FILE_WRITE(11);
+        TEAR_FILE_WRITE(11),
+        /** A write to a file takes only the first bytes, and says so. */
+        SHORT_FILE_WRITE(12);
 
         private final int index;
 
--- a/src/main/java/reeldeal/storage/StartCounter.java
+++ b/src/main/java/reeldeal/storage/StartCounter.java
@@ -1,13 +1,9 @@
 package reeldeal.storage;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 
 /**
  * Counts in a data directory how often its node was started. Other nodes remember the count. If it
@@ -22,27 +18,22 @@
 
     /**
      * Increments the count for this start and returns it; the first start is 1. The count is
-     * written and flushed before this returns. Throws IOException if the file does not contain a
-     * number or cannot be written.
+     * written, and flushed with the file's name, before this returns. Throws IOException if the
+     * file does not contain a number or cannot be written.
      */
     public static long next(Path directory) throws IOException {
         Files.createDirectories(directory);
-        Path file = directory.resolve(FILE);
-        long count = read(file) + 1;
-        Path temporary = directory.resolve(FILE + ".new");
-        try (FileChannel channel =
-                FileChannel.open(
-                        temporary,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.WRITE,
-                        StandardOpenOption.TRUNCATE_EXISTING)) {
-            channel.write(ByteBuffer.wrap((count + "\n").getBytes(StandardCharsets.US_ASCII)));
-            channel.force(true);
-        }
-        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+        long count = read(directory.resolve(FILE)) + 1;
+        write(directory, count);
         return count;
     }
 
+    private static void write(Path directory, long count) throws IOException {
+        DurableFiles files = new DurableFiles(directory);
+        byte[] bytes = (count + "\n").getBytes(StandardCharsets.US_ASCII);
+        files.replace(files.resolve(FILE), bytes);
+    }
+
     private static long read(Path file) throws IOException {
         String text = Files.exists(file) ? Files.readString(file).trim() : "0";
         if (!text.matches("[0-9]{1,18}")) {
--- a/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
+++ b/src/main/resources/reeldeal/faultinjection/soak/syscall_faults.c
@@ -22,7 +22,8 @@
 
 enum fault {
     FAIL_ACCEPT, FAIL_SOCKET, FAIL_CONNECT, INTERRUPT_WAIT, SHORT_READ, SHORT_WRITE,
-    FAIL_FILE_WRITE, FAIL_FILE_SYNC, BREAK_CONNECTION, INTERRUPT_READ, DELAY_WAIT, TEAR_FILE_WRITE, FAULT_COUNT
+    FAIL_FILE_WRITE, FAIL_FILE_SYNC, BREAK_CONNECTION, INTERRUPT_READ, DELAY_WAIT, TEAR_FILE_WRITE, SHORT_FILE_WRITE,
+    FAULT_COUNT
 };
 
 #define MAX_FAULTS 16
@@ -235,6 +236,9 @@
         fail(errors, 2);
         return 1;
     }
+    if (control->permille[SHORT_FILE_WRITE] && *length > 1 && is_regular_file(fd) && strikes(SHORT_FILE_WRITE)) {
+        *length = 1 + next_random() % (*length - 1);
+    }
     return 0;
 }
 
--- a/src/test/java/reeldeal/server/FleetMemberFaultTest.java
+++ b/src/test/java/reeldeal/server/FleetMemberFaultTest.java
@@ -1,6 +1,7 @@
 package reeldeal.server;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -175,6 +176,26 @@
         }
     }
 
+    /**
+     * Guards against a count of starts that a short write has cut, so that a later start is lower.
+     */
+    @Test
+    public void aMemberWhoseDiskTakesPartsOfWritesIsNotTakenForRolledBack() throws Exception {
+        Path state = Files.createDirectories(folder.resolve("state"));
+        Files.writeString(state.resolve("starts"), "4100041\n");
+        try (FakeSearcher searcher = new FakeSearcher(0, name -> {})) {
+            List<Integer> ports = List.of(searcher.port());
+            for (int start = 4_100_042; start < 4_100_045; start++) {
+                List<Kind> kinds = List.of(Kind.SHORT_FILE_WRITE);
+                try (FaultyBroker broker = member("-Dnone=0", kinds, ports)) {
+                    String log = String.join("\n", broker.log);
+                    assertFalse(log, log.contains("went back"));
+                    assertEquals(start + "\n", Files.readString(state.resolve("starts")));
+                }
+            }
+        }
+    }
+
     @Test
     public void aMemberWhoseDiskFailsForAMomentRecordsRequestsAgain() throws Exception {
         keyedRecords = "required";
