Let nodes restored from a backup go on counting their starts

Cause: the backup holds the registrations with their counts of starts, and the new folders count from 1, so that every node finds itself rolled back.

Change: store restore sets the folder's count to the starts of its node that the backup knows; the next start is then a later one.

Evidence: RollbackCheckTest.aGroupThatIsRestoredFromABackupVotesAndRegisters before the fix: "a is registered: ... this folder went back: a knows start 3 of b, and this process is start 1"; it passes now.

--- a/src/main/java/reeldeal/cli/StoreCommands.java
+++ b/src/main/java/reeldeal/cli/StoreCommands.java
@@ -18,7 +18,10 @@
 import picocli.CommandLine.Spec;
 import reeldeal.consensus.GroupConfiguration;
 import reeldeal.consensus.RaftNode;
+import reeldeal.fleet.FleetCodec;
+import reeldeal.fleet.FleetView;
 import reeldeal.storage.DataDirectory;
+import reeldeal.storage.StartCounter;
 import reeldeal.store.Backup;
 import reeldeal.store.KeyValueState;
 
@@ -271,6 +274,7 @@
         }
         try {
             long version = Backup.restore(file, folder, group, node, new TreeSet<>(nodes));
+            continueCountOfStarts(file, folder, node);
             printLine(
                     "version "
                             + version
@@ -286,6 +290,15 @@
         }
     }
 
+    /** Makes the next start of a node a later one than those that the backup knows. */
+    private static void continueCountOfStarts(Path backup, Path folder, String node)
+            throws IOException {
+        KeyValueState.Value registration = Backup.read(backup).get(FleetView.REGISTRATION + node);
+        if (registration != null) {
+            StartCounter.continueAfter(folder, FleetCodec.decodeStarts(registration.text()));
+        }
+    }
+
     // ---- commands on a running group ----
 
     private int sendCommand(NodeTarget target, String... arguments)
--- a/src/main/java/reeldeal/storage/StartCounter.java
+++ b/src/main/java/reeldeal/storage/StartCounter.java
@@ -28,6 +28,15 @@
         return count;
     }
 
+    /**
+     * Sets the count of a directory that was made from a backup to the starts of its node that the
+     * backup knows, so that the next start counts as a later one. Written and flushed before this
+     * returns.
+     */
+    public static void continueAfter(Path directory, long starts) throws IOException {
+        write(directory, starts);
+    }
+
     private static void write(Path directory, long count) throws IOException {
         DurableFiles files = new DurableFiles(directory);
         byte[] bytes = (count + "\n").getBytes(StandardCharsets.US_ASCII);
--- a/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
+++ b/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
+import reeldeal.cli.Commands;
 import reeldeal.faultinjection.PortRange;
 import reeldeal.fleet.FleetCodec;
 import reeldeal.fleet.FleetView;
@@ -27,6 +29,7 @@
 import reeldeal.fleet.disruption.ObservedSearcher;
 import reeldeal.fleet.membership.LocalMember;
 import reeldeal.fleet.rollout.RolloutHealth;
+import reeldeal.storage.StartCounter;
 import reeldeal.store.StoreConfig;
 import reeldeal.store.StoreNode;
 
@@ -87,9 +90,13 @@
 
     /** Starts a node with its member, as a broker does, on a folder with so many starts. */
     private StoreNode start(String node, long starts) throws Exception {
-        Path directory = folder.getRoot().toPath().resolve(node);
+        return start("g", folder.getRoot().toPath().resolve(node), node, starts);
+    }
+
+    private StoreNode start(String groupName, Path directory, String node, long starts)
+            throws Exception {
         StoreConfig config =
-                new StoreConfig("g", node, addresses, Set.of(), false, directory, null, 1);
+                new StoreConfig(groupName, node, addresses, Set.of(), false, directory, null, 1);
         StoreNode store = new StoreNode(group, config, log::add);
         stores.put(node, store);
         RollbackCheck check = new RollbackCheck(group.next(), store, starts);
@@ -174,6 +181,45 @@
         assertTrue("is halted", !callOnLoop(store::isCurrent));
     }
 
+    /**
+     * Guards against a group that is made from a backup, whose nodes are all taken for rolled back.
+     */
+    @Test
+    public void aGroupThatIsRestoredFromABackupVotesAndRegisters() throws Exception {
+        startAll(3);
+        Path backup = folder.getRoot().toPath().resolve("backup");
+        StoreNode source = stores.get("a");
+        await(
+                "has all registrations",
+                () -> NODES.stream().allMatch(n -> isRegisteredAt(source, n)));
+        callOnLoop(
+                () -> {
+                    source.backup(backup);
+                    return null;
+                });
+        await("the backup is written", () -> Files.exists(backup));
+        for (String node : NODES) {
+            kill(node);
+        }
+        for (String node : NODES) {
+            Path directory = folder.getRoot().toPath().resolve("restored-" + node);
+            String nodes = String.join(",", NODES);
+            String arguments =
+                    "store restore %s %s --group g2 --node %s --nodes %s"
+                            .formatted(backup, directory, node, nodes);
+            assertEquals(0, Commands.run(arguments.split(" ")));
+            start("g2", directory, node, StartCounter.next(directory));
+        }
+        for (String node : NODES) {
+            await(node + " is registered", () -> isRegistered(node, 4));
+        }
+        assertEquals(List.of(), rollbackLines());
+    }
+
+    private static boolean isRegisteredAt(StoreNode store, String node) {
+        return FleetCodec.decodeStarts(store.get(FleetView.REGISTRATION + node)) == 3;
+    }
+
     /** The broker of a member without clients or searchers. */
     private static final class IdleHost implements FleetNode.Host {
         @Override
