Drill minorities of five that are killed at random, and check rollback reports

Updates of the zone go to a random broker. RollbackChecker judges every drill's history: a node may report a rollback only if an older copy of its directory was put back, and its broker serves no query from 1 s after the report on, whatever its later starts. An action may repeat (every_ms); the target minority leaves a majority running.

--- a/src/main/java/reeldeal/faultinjection/FaultSchedule.java
+++ b/src/main/java/reeldeal/faultinjection/FaultSchedule.java
@@ -20,6 +20,7 @@
     private static final int RESTART_DELAY_MS = 500;
     private static final int SHORTEST_OUTAGE_MS = 200;
     private static final int RAISED_LOAD_MS = 10_000;
+    private static final String MINORITY = "minority";
 
     private final Scenario scenario;
     private final Path folder;
@@ -96,7 +97,7 @@
         switch (action.kind()) {
             case KILL -> {
                 broker.kill();
-                fleet.restartAfter(broker, action.durationMs());
+                fleet.restartAfter(broker, outageMs(action));
             }
             case TERMINATE -> broker.terminate();
             case KEEP, OLDER, FLIP -> damageDirectory(broker, action.kind());
@@ -119,6 +120,12 @@
         }
     }
 
+    private long outageMs(Scenario.Action action) {
+        return action.target().equals(MINORITY)
+                ? SHORTEST_OUTAGE_MS + random.nextLong(Math.max(1, action.durationMs()))
+                : action.durationMs();
+    }
+
     private void order(String text) {
         String searcher = FormAttributes.of(text).get("name").split("\\.")[0];
         if (text.startsWith("fleet undrain")) {
@@ -245,9 +252,16 @@
 
     // ---- zone updates ----
 
-    /** Sends a zone update to a node. The arguments are {@code NODE add|delete SEARCHER}. */
+    /**
+     * Sends a zone update to a node, or to a random one of those that a target selects. The
+     * arguments are {@code NODE add|delete SEARCHER}.
+     */
     private void updateZone(String[] arguments) throws Exception {
-        BrokerProcess broker = fleet.broker(arguments[0]);
+        List<BrokerProcess> selected = select(arguments[0]);
+        if (selected.isEmpty()) {
+            return;
+        }
+        BrokerProcess broker = selected.get(0);
         boolean isAdd = arguments[1].equals("add");
         String searcher = arguments[2];
         int port = searchers.port(Integer.parseInt(searcher.substring(1)));
@@ -259,7 +273,7 @@
         history.add(
                 "operator",
                 "order",
-                "zone update at " + arguments[0] + ": " + arguments[1] + " " + record);
+                "zone update at " + broker.name + ": " + arguments[1] + " " + record);
         List<String> command =
                 List.of(
                         "zone",
@@ -289,6 +303,7 @@
         }
         return switch (target) {
             case "seven" -> selectSevenInTen(candidates, running);
+            case MINORITY -> selectMinority(candidates);
             case "third" ->
                     shuffled(candidates).subList(0, Math.max(1, fleet.brokers().size() / 3));
             default -> List.of(candidates.get(random.nextInt(candidates.size())));
@@ -301,7 +316,7 @@
                 String leader = console.leader();
                 yield running.stream().filter(b -> b.name.equals(leader)).toList();
             }
-            case "voter" -> running.stream().filter(fleet::isVoter).toList();
+            case "voter", MINORITY -> running.stream().filter(fleet::isVoter).toList();
             case "broker", "third", "seven" ->
                     running.stream().filter(b -> !fleet.isVoter(b)).toList();
             case "leaving" -> {
@@ -322,6 +337,13 @@
         return leaving;
     }
 
+    /** Returns at least one voter, unless a majority would not be left running. */
+    private List<BrokerProcess> selectMinority(List<BrokerProcess> runningVoters) {
+        int majority = fleet.voters().size() / 2 + 1;
+        int most = runningVoters.size() - majority;
+        return most < 1 ? List.of() : shuffled(runningVoters).subList(0, 1 + random.nextInt(most));
+    }
+
     private List<BrokerProcess> selectSevenInTen(
             List<BrokerProcess> learners, List<BrokerProcess> running) {
         List<BrokerProcess> shuffled = shuffled(learners);
--- a/src/main/java/reeldeal/faultinjection/InvariantChecker.java
+++ b/src/main/java/reeldeal/faultinjection/InvariantChecker.java
@@ -21,6 +21,7 @@
         new CommitChecker(events, findings).check();
         new DisruptionChecker(events, findings).check();
         new DrainChecker(events, findings).check();
+        new RollbackChecker(events, findings).check();
         new RolloutChecker(events, findings).check();
         return new Verdict(findings.violations(), findings.figures());
     }
--- a/src/main/java/reeldeal/faultinjection/Scenario.java
+++ b/src/main/java/reeldeal/faultinjection/Scenario.java
@@ -142,10 +142,17 @@
      * @param kind the kind of fault, or {@link FaultKind#ORDER}
      * @param target what the action applies to: a node's name; {@code leader}, {@code voter},
      *     {@code broker}, {@code any}, {@code leaving} (one that drains or restarts), {@code
-     *     third}, {@code seven} (in ten, one of them a voter); a zone for {@link FaultKind#POWER};
-     *     the text of the order for {@link FaultKind#ORDER}
+     *     third}, {@code seven} (in ten, one of them a voter), {@code minority} (so many random
+     *     voters that a majority runs, each of which comes back after a random part of the
+     *     duration); a zone for {@link FaultKind#POWER}; the text of the order for {@link
+     *     FaultKind#ORDER}
      * @param durationMs how long the fault lasts, or the offset of the wall clock, ms
      * @param lateMs how much later a majority of the voters comes back after a loss of power, ms
      */
-    public record Action(long atMs, FaultKind kind, String target, long durationMs, long lateMs) {}
+    public record Action(long atMs, FaultKind kind, String target, long durationMs, long lateMs) {
+        /** Returns the same action at another time. */
+        Action at(long otherMs) {
+            return new Action(otherMs, kind, target, durationMs, lateMs);
+        }
+    }
 }
--- a/src/main/java/reeldeal/faultinjection/ScenarioReader.java
+++ b/src/main/java/reeldeal/faultinjection/ScenarioReader.java
@@ -24,6 +24,7 @@
     private static final String TAKEOVER_PREFIX = "keyed.handover.";
     private static final String ACTIONS_PREFIX = "actions.";
     private static final int MAX_DURATION_MS = 600_000;
+    private static final int DEFAULT_FAULTS_MS = 30_000;
 
     private static final Set<String> KNOWN_KEYS =
             Set.of(
@@ -148,7 +149,7 @@
 
     private Scenario.Faults faults() throws InvalidConfigException {
         return new Scenario.Faults(
-                number("faults_ms", 30_000, 0, MAX_DURATION_MS),
+                number("faults_ms", DEFAULT_FAULTS_MS, 0, MAX_DURATION_MS),
                 new Scenario.FrameFaults(
                         number("drop_pct", 0, 0, 90),
                         number("delay_pct", 0, 0, 90),
@@ -163,8 +164,17 @@
     private List<Scenario.Action> actions() throws InvalidConfigException {
         List<Scenario.Action> actions = new ArrayList<>();
         int count = number("actions.count", 0, 0, 100);
+        int untilMs = number("faults_ms", DEFAULT_FAULTS_MS, 0, MAX_DURATION_MS);
         for (int i = 0; i < count; i++) {
-            actions.add(action(ACTIONS_PREFIX + i + "."));
+            String prefix = ACTIONS_PREFIX + i + ".";
+            Scenario.Action first = action(prefix);
+            actions.add(first);
+            int intervalMs = number(prefix + "every_ms", 0, 0, MAX_DURATION_MS);
+            for (long atMs = first.atMs() + intervalMs;
+                    intervalMs > 0 && atMs < untilMs;
+                    atMs += intervalMs) {
+                actions.add(first.at(atMs));
+            }
         }
         return List.copyOf(actions);
     }
--- a/src/test/java/reeldeal/faultinjection/ScenarioRunnerTest.java
+++ b/src/test/java/reeldeal/faultinjection/ScenarioRunnerTest.java
@@ -67,6 +67,14 @@
                         .count());
     }
 
+    /** Guards against sound directories that are taken for rolled back while voters are down. */
+    @Test
+    public void minoritiesThatAreKilledAtRandomComeBackAsMembers() throws Exception {
+        List<History.Event> events = runScenario("minorities");
+        assertTrue("some were killed", events.stream().filter(e -> e.is("kill")).count() >= 6);
+        assertTrue("the zone was updated", events.stream().anyMatch(e -> e.is("drained")));
+    }
+
     @Test
     public void killedAndIsolatedBrokersServeFromStaleReplicasAndKeepDrains() throws Exception {
         List<History.Event> events = runScenario("apart");
@@ -250,7 +258,11 @@
                                         "4 s drained",
                                         "400 s part p",
                                         "500 s undrained",
-                                        "2000 s part p"))
+                                        "2000 s part p",
+                                        "2001 a older",
+                                        "2002 a log store: this folder went back: b knows",
+                                        "4000 c ask id=r to=a",
+                                        "4001 c answer id=r to=a status=503"))
                         .violations());
         String[][] broken = {
             {"1 c ask id=q to=b", "3 c noanswer id=q to=b why=x"},
@@ -261,6 +273,13 @@
                 "3 c answer id=q to=b status=200"
             },
             {"4 s drained", "505 s part p"},
+            {"1 a log store: this folder went back: b knows start 2 of a"},
+            {
+                "1 a older",
+                "2 a log store: this folder went back: b knows start 2 of a",
+                "3000 c ask id=q to=a",
+                "3001 c answer id=q to=a status=200"
+            },
             {"1 o policy 1", "2 a log fleet: drains", "3 b log fleet: drains"},
             {
                 "2 a log fleet: ends: release r1",
