Pass on an update's success only once the forwarding node shows it

What clients saw: NOERROR from a node that forwarded their update to the leader while its own zone did not show the update yet: mostly for less than a heartbeat, but for as long as its disk failed, or for ever if it halted. Until then its broker goes on using a searcher that was taken out through itself.

Cause: UpdateForwarder passed the leader's response on as it came. The leader answers once its own broker has the change; the commit reaches the others with the next heartbeat.

Change: the leader sends the response after a heartbeat round that a majority has confirmed (one round for all responses that wait), which carries the commit index ahead of it on the same connection; the forwarding node passes a success on once its copy is current. If it is not within 3 s, the client gets SERVFAIL as before: the update may have been applied.

Evidence: UpdateForwarderTest.aSuccessfulResponseComesOnceTheForwardingNode- HasAppliedTheUpdate before the fix: expected:<[0, 1, 2, ... 19]> but was:<[null, 0, 1, ... 14, 14, 16, 17, 18]>; it passes now.

--- a/src/main/java/reeldeal/zones/UpdateForwarder.java
+++ b/src/main/java/reeldeal/zones/UpdateForwarder.java
@@ -8,25 +8,36 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import reeldeal.dns.Rcode;
 import reeldeal.store.StoreNode;
 
 /**
  * Forwards updates from a node that does not accept writes to the leader. Each update is sent once
- * and unchanged, and the response is returned unchanged, including its signature. If no response
- * arrives in time, the update may or may not have been applied: the client receives SERVFAIL, and
- * the update is not sent again.
+ * and unchanged, and the response is returned unchanged, including its signature. The client gets
+ * the response of an update that has succeeded only once this node shows the update too: the leader
+ * sends it after a heartbeat with the commit index, and this node holds it back until its copy is
+ * current. If no response can be given in time, the update may or may not have been applied: the
+ * client receives SERVFAIL, and the update is not sent again.
  */
 final class UpdateForwarder {
     private static final char REQUEST = 'U';
     private static final char RESPONSE = 'u';
     private static final int TIMEOUT_MS = 3_000;
+    private static final int CURRENT_POLL_MS = 5;
+
+    /** The offset of the byte of a DNS message that contains the response code. */
+    private static final int RCODE_OFFSET = 3;
+
+    private static final int RCODE_MASK = 0x0f;
 
     /** The limit of open requests, and of the request ids remembered for each sending node. */
     private static final int MAX_REQUESTS = 1_000;
@@ -45,6 +56,8 @@
     private final ScheduledExecutorService loop;
     private final Map<Long, Consumer<byte[]>> openRequests = new HashMap<>();
     private final Map<String, Set<Long>> receivedIds = new HashMap<>();
+    private final List<Runnable> unconfirmedResponses = new ArrayList<>();
+    private boolean confirming;
     // Starts above all ids that this node used before a restart.
     private long nextId = System.currentTimeMillis() << 16;
 
@@ -57,11 +70,16 @@
                 (node, bytes) -> {
                     try (DataInputStream in =
                             new DataInputStream(new ByteArrayInputStream(bytes))) {
-                        complete(in.readLong(), in.readAllBytes());
+                        completeOnceShown(in.readLong(), in.readAllBytes());
                     } catch (IOException e) {
                         return; // not a response in this format
                     }
                 });
+        store.whenLeading(
+                () -> {
+                    unconfirmedResponses.clear();
+                    confirming = false;
+                });
     }
 
     /**
@@ -96,6 +114,20 @@
         return true;
     }
 
+    private void completeOnceShown(long id, byte[] response) {
+        if (store.isCurrent() || !isSuccess(response)) {
+            complete(id, response);
+        } else if (openRequests.containsKey(id)) {
+            loop.schedule(
+                    () -> completeOnceShown(id, response), CURRENT_POLL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static boolean isSuccess(byte[] response) {
+        return response.length > RCODE_OFFSET
+                && (response[RCODE_OFFSET] & RCODE_MASK) == Rcode.NOERROR;
+    }
+
     private void complete(long id, byte[] response) {
         Consumer<byte[]> onResponse = openRequests.remove(id);
         if (onResponse != null) {
@@ -117,20 +149,46 @@
             handler.handle(
                     message,
                     from,
-                    response ->
-                            store.sendToPeer(
-                                    node,
-                                    RESPONSE,
-                                    encode(
-                                            out -> {
-                                                out.writeLong(id);
-                                                out.write(response);
-                                            })));
+                    response -> respondAfterHeartbeat(() -> respond(node, id, response)));
         } catch (IOException e) {
             return; // not a request in this format
         }
     }
 
+    private void respond(String node, long id, byte[] response) {
+        byte[] content =
+                encode(
+                        out -> {
+                            out.writeLong(id);
+                            out.write(response);
+                        });
+        store.sendToPeer(node, RESPONSE, content);
+    }
+
+    /**
+     * Sends a response after a heartbeat round that a majority has confirmed. One round serves all
+     * responses that wait when it begins. If this node stops leading, they are never sent.
+     */
+    private void respondAfterHeartbeat(Runnable response) {
+        unconfirmedResponses.add(response);
+        if (!confirming) {
+            confirmNext();
+        }
+    }
+
+    private void confirmNext() {
+        confirming = !unconfirmedResponses.isEmpty();
+        if (confirming) {
+            List<Runnable> responses = List.copyOf(unconfirmedResponses);
+            unconfirmedResponses.clear();
+            store.confirmLeadership(
+                    () -> {
+                        responses.forEach(Runnable::run);
+                        confirmNext();
+                    });
+        }
+    }
+
     /** Records a request id; returns false if the same node has sent it before. */
     private boolean markReceived(String node, long id) {
         Set<Long> ids = receivedIds.computeIfAbsent(node, n -> new LinkedHashSet<>());
--- a/src/test/java/reeldeal/zones/UpdateForwarderTest.java
+++ b/src/test/java/reeldeal/zones/UpdateForwarderTest.java
@@ -18,9 +18,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.Rule;
 import org.junit.Test;
 import org.junit.rules.TemporaryFolder;
+import reeldeal.store.Change;
 import reeldeal.store.StoreConfig;
 import reeldeal.store.StoreNode;
 
@@ -29,36 +31,23 @@
  * that its response is returned.
  */
 public class UpdateForwarderTest {
+    private static final int UPDATES = 20;
+
+    /** The header of a DNS response with the code NOERROR. */
+    private static final byte[] NOERROR_RESPONSE = new byte[12];
+
     @Rule public TemporaryFolder folder = new TemporaryFolder();
 
     @Test
     public void anUpdateIsForwardedOnceAndNeverByTheLeader() throws Exception {
         NioEventLoopGroup group = new NioEventLoopGroup(1);
         EventLoop loop = group.next();
-        Map<String, InetSocketAddress> nodes = new HashMap<>();
-        for (String node : List.of("a", "b")) {
-            try (ServerSocket portFinder =
-                    new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                nodes.put(node, (InetSocketAddress) portFinder.getLocalSocketAddress());
-            }
-        }
+        Map<String, InetSocketAddress> nodes = freeAddresses();
         List<String> received = new CopyOnWriteArrayList<>();
         Map<String, StoreNode> stores = new HashMap<>();
         Map<String, UpdateForwarder> forwarders = new HashMap<>();
         for (String node : nodes.keySet()) {
-            StoreNode store =
-                    new StoreNode(
-                            group,
-                            new StoreConfig(
-                                    "g",
-                                    node,
-                                    nodes,
-                                    Set.of("a"),
-                                    false,
-                                    folder.getRoot().toPath().resolve(node),
-                                    null,
-                                    1),
-                            l -> {});
+            StoreNode store = createStore(group, node, nodes);
             stores.put(node, store);
             forwarders.put(
                     node,
@@ -124,15 +113,101 @@
                                             .get("a")
                                             .forward("z".getBytes(UTF_8), client, a -> {})));
         } finally {
-            for (StoreNode s : stores.values()) {
+            close(group, stores);
+        }
+    }
+
+    private static Map<String, InetSocketAddress> freeAddresses() throws Exception {
+        Map<String, InetSocketAddress> nodes = new HashMap<>();
+        for (String node : List.of("a", "b")) {
+            try (ServerSocket portFinder =
+                    new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                nodes.put(node, (InetSocketAddress) portFinder.getLocalSocketAddress());
+            }
+        }
+        return nodes;
+    }
+
+    /** Returns a store that is not started, of a group in which only node a votes. */
+    private StoreNode createStore(
+            NioEventLoopGroup group, String node, Map<String, InetSocketAddress> nodes)
+            throws Exception {
+        return new StoreNode(
+                group,
+                new StoreConfig(
+                        "g",
+                        node,
+                        nodes,
+                        Set.of("a"),
+                        false,
+                        folder.getRoot().toPath().resolve(node),
+                        null,
+                        1),
+                l -> {});
+    }
+
+    private static void close(NioEventLoopGroup group, Map<String, StoreNode> stores)
+            throws Exception {
+        for (StoreNode store : stores.values()) {
+            callOn(
+                    group.next(),
+                    () -> {
+                        store.close();
+                        return true;
+                    });
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a response to a client at a node whose copy does not show the update yet. */
+    @Test
+    public void aSuccessfulResponseComesOnceTheForwardingNodeHasAppliedTheUpdate()
+            throws Exception {
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        EventLoop loop = group.next();
+        Map<String, InetSocketAddress> nodes = freeAddresses();
+        Map<String, StoreNode> stores = new HashMap<>();
+        Map<String, UpdateForwarder> forwarders = new HashMap<>();
+        for (String node : nodes.keySet()) {
+            StoreNode store = createStore(group, node, nodes);
+            stores.put(node, store);
+            forwarders.put(
+                    node,
+                    new UpdateForwarder(
+                            store,
+                            loop,
+                            (message, from, answer) ->
+                                    store.write(
+                                            List.of(new Change("k", new String(message, UTF_8))),
+                                            result -> answer.accept(NOERROR_RESPONSE))));
+            store.start().sync();
+        }
+        try {
+            StoreNode follower = stores.get("b");
+            await(loop, () -> stores.get("a").acceptsWrites() && follower.isCurrent());
+            InetSocketAddress client = new InetSocketAddress(InetAddress.getLoopbackAddress(), 7);
+            List<String> shown = new CopyOnWriteArrayList<>();
+            for (int i = 0; i < UPDATES; i++) {
+                byte[] update = String.valueOf(i).getBytes(UTF_8);
+                CompletableFuture<String> shownAtResponse = new CompletableFuture<>();
                 callOn(
                         loop,
-                        () -> {
-                            s.close();
-                            return true;
-                        });
+                        () ->
+                                forwarders
+                                        .get("b")
+                                        .forward(
+                                                update,
+                                                client,
+                                                response ->
+                                                        shownAtResponse.complete(
+                                                                follower.get("k"))));
+                shown.add(String.valueOf(shownAtResponse.get(10, TimeUnit.SECONDS)));
             }
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            assertEquals(
+                    IntStream.range(0, UPDATES).mapToObj(String::valueOf).toList(),
+                    List.copyOf(shown));
+        } finally {
+            close(group, stores);
         }
     }
 
