Take back a test's fault only once a call has met it

The test took the fault back 20 ms after it had sent the request; the busy broker had not opened a socket by then, so that nothing was tested, and the last check said so. The two tests of this form now wait for the first failed call, for at most the request's time. All bounds are as before, and count from the same moment.

--- a/src/test/java/reeldeal/server/SystemCallFaultTest.java
+++ b/src/test/java/reeldeal/server/SystemCallFaultTest.java
@@ -48,6 +48,14 @@
         return TextCodec.readHttp(client.getInputStream());
     }
 
+    /** Waits until a call has failed, which takes longer on a busy machine. */
+    private void awaitInjected(Kind kind) throws InterruptedException {
+        long deadline = System.nanoTime() + TIME_LEFT_MS * 1_000_000L;
+        while (broker.faults.injected(kind) == 0 && System.nanoTime() < deadline) {
+            Thread.sleep(1);
+        }
+    }
+
     @Test
     public void aFailedAcceptDoesNotKeepClientsWaitingPastTheirTime() throws Exception {
         broker.faults.setPermille(Kind.FAIL_ACCEPT, ALWAYS);
@@ -55,6 +63,7 @@
             long sentAt = System.nanoTime();
             client.getOutputStream().write(FaultyBroker.request("a", TIME_LEFT_MS));
             Thread.sleep(50);
+            awaitInjected(Kind.FAIL_ACCEPT);
             broker.faults.clear();
             assertEquals(SERVED, TextCodec.readHttp(client.getInputStream()));
             long elapsedMs = (System.nanoTime() - sentAt) / 1_000_000;
@@ -70,6 +79,7 @@
             long sentAt = System.nanoTime();
             client.getOutputStream().write(FaultyBroker.request("a", TIME_LEFT_MS));
             Thread.sleep(20);
+            awaitInjected(Kind.FAIL_SOCKET);
             broker.faults.clear();
             String response = TextCodec.readHttp(client.getInputStream());
             long elapsedMs = (System.nanoTime() - sentAt) / 1_000_000;
