Wait for the accepting thread when a simulated searcher stops

Cause, as suspected and now shown: while the accepting thread is inside the system call it holds the closed listener, which keeps its port until the thread is woken.

Change: stop waits for the end of the accepting thread, in SoakSearcher and in FakeSearcher, which had the same lines.

--- a/src/main/java/reeldeal/faultinjection/FakeSearcher.java
+++ b/src/main/java/reeldeal/faultinjection/FakeSearcher.java
@@ -38,6 +38,7 @@
                         return thread;
                     });
     private ServerSocket server;
+    private Thread acceptor;
     private SlowStartCapacity capacity;
     private Runnable onOverload = () -> {};
     private Runnable onConnect = () -> {};
@@ -61,11 +62,11 @@
         this.keys = keys;
         server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         port = server.getLocalPort();
-        startAccepting(server);
+        acceptor = startAccepting(server);
     }
 
-    private void startAccepting(ServerSocket listener) {
-        DaemonThreads.start(
+    private Thread startAccepting(ServerSocket listener) {
+        return DaemonThreads.start(
                 () -> {
                     while (true) {
                         Socket connection = listener.accept();
@@ -102,6 +103,7 @@
         for (Socket connection : connections) {
             connection.close();
         }
+        DaemonThreads.awaitEnd(acceptor);
     }
 
     /**
@@ -120,7 +122,7 @@
         if (keys != null) {
             keys.forget(this);
         }
-        startAccepting(server);
+        acceptor = startAccepting(server);
     }
 
     /** Returns the time of the latest restart as Unix ms, or 0 if it was never restarted. */
--- a/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
+++ b/src/main/java/reeldeal/faultinjection/soak/SoakSearcher.java
@@ -63,6 +63,7 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final Deque<Arrival> recent = new ArrayDeque<>();
     private ServerSocket listener;
+    private Thread acceptor;
     private volatile Mode mode = Mode.SERVING;
     private volatile int serviceMs;
     private volatile long startedUnixMs;
@@ -84,7 +85,7 @@
         this.ledger = ledger;
         listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
         this.port = listener.getLocalPort();
-        startAccepting(listener);
+        acceptor = startAccepting(listener);
     }
 
     /** Returns the value of a shard, which follows from the query's text and the shard alone. */
@@ -111,6 +112,7 @@
         for (Socket connection : connections) {
             connection.close();
         }
+        DaemonThreads.awaitEnd(acceptor);
     }
 
     /** Starts a stopped searcher again, cold. */
@@ -123,11 +125,11 @@
         startedUnixMs = System.currentTimeMillis();
         startedNanos = System.nanoTime();
         listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
-        startAccepting(listener);
+        acceptor = startAccepting(listener);
     }
 
-    private void startAccepting(ServerSocket socket) {
-        DaemonThreads.start(
+    private Thread startAccepting(ServerSocket socket) {
+        return DaemonThreads.start(
                 () -> {
                     while (true) {
                         Socket connection = socket.accept();
--- a/src/test/java/reeldeal/faultinjection/soak/SoakSearcherTest.java
+++ b/src/test/java/reeldeal/faultinjection/soak/SoakSearcherTest.java
@@ -18,6 +18,7 @@
             new SlowStartBudget(new WarmCapacity(10), 0.2, 60_000, 2.5, 1_000);
 
     private static final int ALLOWED = 14;
+    private static final int RESTARTS = 500;
 
     private final RequestLedger ledger =
             new RequestLedger(new StallMonitor(), new DrainNotices(0), 100);
@@ -35,6 +36,23 @@
         }
     }
 
+    /** Guards against a port that is still taken by the searcher's own listener after its stop. */
+    @Test
+    public void aStoppedSearcherStartsAgainOnItsPort() throws Exception {
+        try (PortRange ports = new PortRange(1);
+                SoakSearcher searcher =
+                        new SoakSearcher("s", 0, ports.ports().get(0), 1, BUDGET, ledger)) {
+            for (int i = 0; i < RESTARTS; i++) {
+                Thread.sleep(1); // so that the searcher waits for connections
+                searcher.stop();
+                searcher.restart();
+            }
+            ledger.begin(new Request("r", "n0", "notice-search", "q", null, List.of(3), 5_000));
+            send(searcher, 1);
+            assertEquals(1, (int) ledger.counts().get("attempts"));
+        }
+    }
+
     @Test
     public void aColdSearcherReportsTheFirstShardRequestBeyondItsBudget() throws Exception {
         ledger.begin(new Request("r", "n0", "notice-search", "q", null, List.of(3), 5_000));
