Take searchers in use out of the zone in the drill of minorities

RolledBackFolderTest asks queries of all classes with keys and expects Retry-After; RequestGuardTest has the grace of a suspended broker.

--- a/src/test/java/reeldeal/core/RequestGuardTest.java
+++ b/src/test/java/reeldeal/core/RequestGuardTest.java
@@ -45,6 +45,17 @@
                 guard.refusals());
     }
 
+    @Test
+    public void aSuspendedBrokerSendsNothingAfterItsGrace() {
+        guard.opened(request);
+        guard.sendOnlyUntil(300);
+        now = 300;
+        assertTrue(guard.maySend(send(400)));
+        now = 301;
+        assertFalse(guard.maySend(send(400)));
+        assertEquals(Map.of(RequestGuard.Refusal.SUSPENDED, 1), guard.refusals());
+    }
+
     @Test
     public void whatReachesTheSocketTooLateIsCountedAndLogged() {
         guard.opened(request);
--- a/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -38,6 +38,8 @@
     private static final int REGISTERED_MS = 2_000;
 
     private static final int QUERIES = 20;
+    private static final List<String> CLASSES =
+            List.of("notice-search", "bid-mark", "audit-report");
     private static final int RESTARTS = 4;
 
     @Rule public final TemporaryFolder folder = new TemporaryFolder();
@@ -136,23 +138,33 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), broker.port)) {
             socket.setSoTimeout(ANSWER_TIMEOUT_MS);
             socket.getOutputStream().write(request);
-            return TextCodec.readHttp(socket.getInputStream()).split(" ")[0];
+            return TextCodec.readHttp(socket.getInputStream());
         } catch (IOException e) {
             return e.toString();
         }
     }
 
     private static String health(BrokerProcess broker) {
-        return get(broker, TextCodec.request("GET", "/_health", "", ""));
+        return status(get(broker, TextCodec.request("GET", "/_health", "", "")));
     }
 
-    /** Asks the node for shards on all searchers' cells, and returns the status. */
-    private String query() {
-        String headers = "X-Correlation-Id: q" + queries++ + "\r\nX-Time-Left-Ms: 2000\r\n";
+    private static String status(String response) {
+        return response.split(" ")[0];
+    }
+
+    /**
+     * Sends a query of a class to the node, and returns the status and whether it may be retried.
+     */
+    private String query(String queryClass) {
+        String id = "q" + queries++;
+        String headers =
+                "X-Correlation-Id: %s\r\nX-Time-Left-Ms: 2000\r\nIdempotency-Key: %s\r\n"
+                        .formatted(id, id);
         String body =
                 "{\"shards\":[{\"shard\":1,\"weight\":0.5},{\"shard\":2,\"weight\":0.5}],"
                         + "\"q\":\"x\"}";
-        return get(broker, TextCodec.request("POST", "/notice-search", headers, body));
+        String response = get(broker, TextCodec.request("POST", "/" + queryClass, headers, body));
+        return status(response) + (response.contains(" retry-after=") ? " with Retry-After" : "");
     }
 
     private String dns(BrokerProcess server, byte[] message) {
@@ -182,7 +194,8 @@
         assertEquals("NOERROR", removeSearcher(fleet.broker(OTHER_NODE), 2));
         Thread.sleep(TOLD_MS + GRACE_MS);
         for (int i = 0; i < QUERIES; i++) {
-            expect(wrong, "query " + i, "503", query());
+            String queryClass = CLASSES.get(i % CLASSES.size());
+            expect(wrong, queryClass + " " + i, "503 with Retry-After", query(queryClass));
         }
         expect(wrong, "/_health", "503", health(broker));
         assertEquals(List.of(), wrong);
--- a/src/test/java/reeldeal/faultinjection/ScenarioRunnerTest.java
+++ b/src/test/java/reeldeal/faultinjection/ScenarioRunnerTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.After;
 import org.junit.Test;
@@ -72,7 +74,15 @@
     public void minoritiesThatAreKilledAtRandomComeBackAsMembers() throws Exception {
         List<History.Event> events = runScenario("minorities");
         assertTrue("some were killed", events.stream().filter(e -> e.is("kill")).count() >= 6);
-        assertTrue("the zone was updated", events.stream().anyMatch(e -> e.is("drained")));
+        Set<String> used = new HashSet<>();
+        boolean usedWasRemoved = false;
+        for (History.Event event : events) {
+            usedWasRemoved |= event.is("drained") && used.contains(event.source());
+            if (event.is("part")) {
+                used.add(event.source());
+            }
+        }
+        assertTrue("a searcher in use was taken out of the zone", usedWasRemoved);
     }
 
     @Test
