Keep a node that has halted from counting as leader or current again

What was seen: a node that halts in a callback of the store, for example when it begins to lead, accepts writes right after. Nothing it accepts is ever sent, so each write waits for its timeout.

Cause: RaftDriver.step went on with the output of the same call, and StoreStatus.update took the status from consensus again.

Change: the loop ends once the node is no longer active, and the status of a frozen copy no longer changes. RolledBackFolderTest has the case of a broker that serves a stale copy before its group shows that the folder went back.

--- a/src/main/java/reeldeal/store/RaftDriver.java
+++ b/src/main/java/reeldeal/store/RaftDriver.java
@@ -186,7 +186,7 @@
         }
         stepping = true;
         boolean hasMore = true;
-        while (hasMore && !status.isClosed()) {
+        while (hasMore && status.isActive()) {
             Ready ready = raft.takeReady();
             hasMore = hasOutput(ready);
             process(ready);
--- a/src/main/java/reeldeal/store/StoreStatus.java
+++ b/src/main/java/reeldeal/store/StoreStatus.java
@@ -111,11 +111,14 @@
     }
 
     /**
-     * Updates the status from the consensus state.
+     * Updates the status from the consensus state; that of a frozen copy no longer changes.
      *
      * @param applied whether all committed entries have been applied
      */
     Transition update(RaftNode raft, boolean applied) {
+        if (frozen) {
+            return new Transition(false, false);
+        }
         boolean leads = raft.role() == RaftNode.Role.LEADER;
         boolean mayWrite = leads && raft.hasCommittedAsLeader() && applied;
         boolean becameWriter = mayWrite && !writer;
--- a/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -114,6 +114,15 @@
      * Puts back a copy of the folder that lacks the latest starts, and awaits that it is noticed.
      */
     private void putBackOlderFolder() throws Exception {
+        replaceFolder();
+        broker.start();
+        await("the rollback is noticed", () -> reports() == 1);
+        await("serves", broker::isServing);
+        Thread.sleep(GRACE_MS);
+    }
+
+    /** Kills the node and puts back a copy of its folder that lacks the latest starts. */
+    private void replaceFolder() throws Exception {
         Path directory = folder.getRoot().toPath().resolve(NODE);
         broker.kill();
         DiskFaults.backUp(directory);
@@ -124,10 +133,6 @@
             broker.kill();
         }
         DiskFaults.restore(directory);
-        broker.start();
-        await("the rollback is noticed", () -> reports() == 1);
-        await("serves", broker::isServing);
-        Thread.sleep(GRACE_MS);
     }
 
     private long reports() throws IOException {
@@ -213,6 +218,24 @@
         return dns(broker, ZoneClient.question(NodeFiles.ORIGIN + ".", Rr.SOA).toBytes());
     }
 
+    /** Guards against a broker that goes on as it did before it reached the group. */
+    @Test
+    public void aBrokerThatServesAStaleCopyStopsOnceTheGroupShowsTheRollback() throws Exception {
+        replaceFolder();
+        fleet.partition(NODE, true, false);
+        broker.start();
+        await("serves its copy", () -> logOfNode().contains("going on from the copy here"));
+        await("is ready", () -> health(broker).equals("200"));
+        fleet.partition(NODE, false, false);
+        await("the rollback is noticed", () -> reports() == 1);
+        Thread.sleep(GRACE_MS);
+        assertEquals("503", health(broker));
+        for (String queryClass : CLASSES) {
+            assertEquals("503 with Retry-After", query(queryClass));
+        }
+        assertEquals("unexpected answer of the name server: response code 2", soa());
+    }
+
     /** Guards against a folder that counts as sound once enough starts have been counted on it. */
     @Test
     public void aFolderThatWentBackIsNotTrustedAfterFurtherStarts() throws Exception {
--- a/src/test/java/reeldeal/store/StoreNodeTest.java
+++ b/src/test/java/reeldeal/store/StoreNodeTest.java
@@ -257,6 +257,27 @@
         assertEquals(List.of(), received);
     }
 
+    /** Guards against a node that counts as leader and current again right after it has halted. */
+    @Test
+    public void aNodeThatHaltsWhenItBeginsToLeadAcceptsNoWrites() throws Exception {
+        List<StoreNode> halted = new ArrayList<>();
+        group.startAll();
+        group.runOnLoop(
+                () -> {
+                    for (StoreNode node : group.running()) {
+                        node.whenLeading(
+                                () -> {
+                                    halted.add(node);
+                                    node.markFolderUntrusted("test");
+                                });
+                    }
+                });
+        group.await(() -> !halted.isEmpty());
+        StoreNode node = halted.get(0);
+        assertEquals(false, group.callOnLoop(node::acceptsWrites));
+        assertEquals(false, group.callOnLoop(node::isCurrent));
+    }
+
     /** Guards against a stale copy that is served although its node was found to be rolled back. */
     @Test
     public void aNodeThatHaltsBeforeItReachesTheGroupServesNoStaleCopy() throws Exception {
