--- a/src/main/java/reeldeal/store/StoreNode.java
+++ b/src/main/java/reeldeal/store/StoreNode.java
@@ -62,7 +62,6 @@
     private final StoreConfig config;
     private final NodeIdentity identity;
     private final StoreLoop loop;
-    private final Consumer<String> log;
     private final DataDirectory directory;
     private final RaftNode raft;
     private final StoreStatus status = new StoreStatus();
@@ -98,7 +97,6 @@
             Consumer<String> log)
             throws IOException {
         this.config = config;
-        this.log = log;
         loop = new StoreLoop(group);
         identity = NodeIdentity.ofNewIncarnation(config.node());
         directory = NodeDirectory.open(config, log);
