Test the check of folders in more groups, and await ports in its test

Seen: a new case of RollbackCheckTest failed with BindException: its kill did not wait until the event loop had given the port back, as StoreGroup does. The cases that landed before could fail in the same way; kill now waits.

New cases: groups of three and seven, a learner that starts again while a voter is down, starts that end before they are registered, a voter's folder that was emptied.

--- a/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
+++ b/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
@@ -5,10 +5,15 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +21,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Rule;
@@ -33,14 +39,20 @@
 import reeldeal.store.StoreConfig;
 import reeldeal.store.StoreNode;
 
-/** Tests with five voters over loopback which starts of a node count as proof of a rollback. */
+/** Tests with groups over loopback which starts of a node count as proof of a rollback. */
 public class RollbackCheckTest {
-    private static final List<String> NODES = List.of("a", "b", "c", "d", "e");
+    private static final List<String> THREE = List.of("a", "b", "c");
+    private static final List<String> FIVE = List.of("a", "b", "c", "d", "e");
+    private static final List<String> SEVEN = List.of("a", "b", "c", "d", "e", "f", "g");
+    private static final String LEARNER = "learner";
     private static final int TIMEOUT_MS = 20_000;
 
     /** Longer than the check waits for voters that are down, ms. */
     private static final int CHECKED_MS = 1_500;
 
+    /** Shorter than the check while a voter is down, ms. */
+    private static final int STARTING_MS = 150;
+
     @Rule public final TemporaryFolder folder = new TemporaryFolder();
 
     private final EventLoopGroup group = new NioEventLoopGroup(1);
@@ -48,13 +60,30 @@
     private final Map<String, StoreNode> stores = new HashMap<>();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private PortRange ports;
+    private List<String> voters = List.of();
 
     @Before
     public void choosePorts() throws Exception {
-        ports = new PortRange(NODES.size());
-        for (int i = 0; i < NODES.size(); i++) {
-            InetAddress loopback = InetAddress.getLoopbackAddress();
-            addresses.put(NODES.get(i), new InetSocketAddress(loopback, ports.ports().get(i)));
+        ports = new PortRange(SEVEN.size() + 1);
+    }
+
+    /** Starts a group, of which the node {@link #LEARNER} does not vote if it is a member. */
+    private void startGroup(List<String> votingNodes, boolean withLearner, long starts)
+            throws Exception {
+        voters = votingNodes;
+        List<String> nodes = new ArrayList<>(votingNodes);
+        if (withLearner) {
+            nodes.add(LEARNER);
+        }
+        for (String node : nodes) {
+            int port = ports.ports().get(addresses.size());
+            addresses.put(node, new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        }
+        for (String node : nodes) {
+            start(node, starts);
+        }
+        for (String node : nodes) {
+            await(node + " is registered", () -> isRegistered(node, starts));
         }
     }
 
@@ -74,6 +103,17 @@
                     store.close();
                     return null;
                 });
+        // The port of a closed channel becomes free when the event loop returns to its selector,
+        // which may be after the next task.
+        await(node + "'s port is free", () -> isFree(addresses.get(node).getPort()));
+    }
+
+    private static boolean isFree(int port) throws IOException {
+        try (ServerSocket unused = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return true;
+        } catch (BindException e) {
+            return false;
+        }
     }
 
     private <T> T callOnLoop(Callable<T> task) throws Exception {
@@ -90,13 +130,18 @@
 
     /** Starts a node with its member, as a broker does, on a folder with so many starts. */
     private StoreNode start(String node, long starts) throws Exception {
-        return start("g", folder.getRoot().toPath().resolve(node), node, starts);
+        return start("g", directoryOf(node), node, starts);
+    }
+
+    private Path directoryOf(String node) {
+        return folder.getRoot().toPath().resolve(node);
     }
 
     private StoreNode start(String groupName, Path directory, String node, long starts)
             throws Exception {
         StoreConfig config =
-                new StoreConfig(groupName, node, addresses, Set.of(), false, directory, null, 1);
+                new StoreConfig(
+                        groupName, node, addresses, Set.copyOf(voters), false, directory, null, 1);
         StoreNode store = new StoreNode(group, config, log::add);
         stores.put(node, store);
         RollbackCheck check = new RollbackCheck(group.next(), store, starts);
@@ -124,22 +169,13 @@
         return store;
     }
 
-    private void startAll(long starts) throws Exception {
-        for (String node : NODES) {
-            start(node, starts);
-        }
-        for (String node : NODES) {
-            await(node + " is registered", () -> isRegistered(node, starts));
-        }
-    }
-
     private boolean isRegistered(String node, long starts) {
         StoreNode store = stores.get(node);
         return FleetCodec.decodeStarts(store.get(FleetView.REGISTRATION + node)) == starts;
     }
 
     private String anyFollower() throws Exception {
-        for (String node : NODES) {
+        for (String node : voters) {
             if (stores.containsKey(node) && !callOnLoop(stores.get(node)::acceptsWrites)) {
                 return node;
             }
@@ -151,34 +187,94 @@
         return log.stream().filter(line -> line.contains("this folder went back")).toList();
     }
 
-    /** Guards against a node that takes its own registration for that of another process. */
-    @Test
-    public void aNodeThatRegistersWhileAVoterIsDownIsNotTakenForRolledBack() throws Exception {
-        startAll(1);
-        String restarted = anyFollower();
-        kill(restarted);
-        String down = anyFollower();
-        kill(down);
-        StoreNode store = start(restarted, 2);
-        await("registered", () -> isRegistered(restarted, 2));
+    /** Kills a follower and so many more of the voters, and returns the first one's name. */
+    private String killFollowers(int others) throws Exception {
+        String first = anyFollower();
+        kill(first);
+        for (int i = 0; i < others; i++) {
+            kill(anyFollower());
+        }
+        return first;
+    }
+
+    private void assertComesBackAsMember(String node, long starts) throws Exception {
+        StoreNode store = start(node, starts);
+        await(node + " is registered", () -> isRegistered(node, starts));
         Thread.sleep(CHECKED_MS);
         assertEquals(List.of(), rollbackLines());
         assertTrue("still follows", callOnLoop(store::isCurrent));
     }
 
-    /** Guards against a fix that no longer detects a folder that did go back. */
-    @Test
-    public void aNodeWhoseFolderLacksAStartIsHaltedThoughAVoterIsDown() throws Exception {
-        startAll(7);
-        String restarted = anyFollower();
-        kill(restarted);
-        String down = anyFollower();
-        kill(down);
-        StoreNode store = start(restarted, 7);
+    private void assertIsHalted(String node, long starts) throws Exception {
+        StoreNode store = start(node, starts);
         await("the rollback is reported", () -> !rollbackLines().isEmpty());
         Thread.sleep(CHECKED_MS);
         assertEquals(rollbackLines().toString(), 1, rollbackLines().size());
-        assertTrue("is halted", !callOnLoop(store::isCurrent));
+        assertTrue("is halted", callOnLoop(store::isFrozen));
+    }
+
+    private void deleteDirectory(String node) throws Exception {
+        try (Stream<Path> files = Files.walk(directoryOf(node))) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Guards against a node that takes its own registration for that of another process. */
+    @Test
+    public void aNodeThatRegistersWhileAVoterIsDownIsNotTakenForRolledBack() throws Exception {
+        startGroup(FIVE, false, 1);
+        assertComesBackAsMember(killFollowers(1), 2);
+    }
+
+    /** As above; the leader has not noticed yet that it has no majority. */
+    @Test
+    public void theSameHoldsInAGroupOfThreeWhoseOtherFollowerHasJustEnded() throws Exception {
+        startGroup(THREE, false, 1);
+        assertComesBackAsMember(killFollowers(1), 2);
+    }
+
+    @Test
+    public void theSameHoldsInAGroupOfSevenWithTwoOthersDown() throws Exception {
+        startGroup(SEVEN, false, 1);
+        assertComesBackAsMember(killFollowers(2), 2);
+    }
+
+    @Test
+    public void aLearnerThatStartsAgainWhileAVoterIsDownIsNotTakenForRolledBack() throws Exception {
+        startGroup(THREE, true, 1);
+        kill(LEARNER);
+        killFollowers(0);
+        assertComesBackAsMember(LEARNER, 2);
+    }
+
+    /** Guards against starts that count although they ended before they were registered. */
+    @Test
+    public void aNodeThatEndsBeforeItRegistersComesBackAsMember() throws Exception {
+        startGroup(FIVE, false, 1);
+        String node = killFollowers(1);
+        for (long starts = 2; starts < 5; starts++) {
+            start(node, starts);
+            Thread.sleep(STARTING_MS);
+            kill(node);
+        }
+        assertComesBackAsMember(node, 5);
+    }
+
+    /** Guards against a fix that no longer detects a folder that did go back. */
+    @Test
+    public void aNodeWhoseFolderLacksAStartIsHaltedThoughAVoterIsDown() throws Exception {
+        startGroup(FIVE, false, 7);
+        assertIsHalted(killFollowers(1), 7);
+    }
+
+    @Test
+    public void aVoterWhoseFolderWasEmptiedIsHaltedThoughAVoterIsDown() throws Exception {
+        startGroup(FIVE, false, 1);
+        String node = killFollowers(1);
+        deleteDirectory(node);
+        assertIsHalted(node, 1);
     }
 
     /**
@@ -186,31 +282,31 @@
      */
     @Test
     public void aGroupThatIsRestoredFromABackupVotesAndRegisters() throws Exception {
-        startAll(3);
+        startGroup(FIVE, false, 3);
         Path backup = folder.getRoot().toPath().resolve("backup");
         StoreNode source = stores.get("a");
         await(
                 "has all registrations",
-                () -> NODES.stream().allMatch(n -> isRegisteredAt(source, n)));
+                () -> FIVE.stream().allMatch(n -> isRegisteredAt(source, n)));
         callOnLoop(
                 () -> {
                     source.backup(backup);
                     return null;
                 });
         await("the backup is written", () -> Files.exists(backup));
-        for (String node : NODES) {
+        for (String node : FIVE) {
             kill(node);
         }
-        for (String node : NODES) {
+        for (String node : FIVE) {
             Path directory = folder.getRoot().toPath().resolve("restored-" + node);
-            String nodes = String.join(",", NODES);
+            String nodes = String.join(",", FIVE);
             String arguments =
                     "store restore %s %s --group g2 --node %s --nodes %s"
                             .formatted(backup, directory, node, nodes);
             assertEquals(0, Commands.run(arguments.split(" ")));
             start("g2", directory, node, StartCounter.next(directory));
         }
-        for (String node : NODES) {
+        for (String node : FIVE) {
             await(node + " is registered", () -> isRegistered(node, 4));
         }
         assertEquals(List.of(), rollbackLines());
