Ask the peers of a learner too whether its folder went back

What operators saw: a learner whose folder was emptied was never noticed. It served its empty copy as stale for ever, since the leader, which knows of the entries that it had acknowledged, never sends them again; the leader alone logs "has lost entries".

Cause: RollbackCheck asked the other nodes only if this node votes. A learner was checked only against its own copy once that was current, which it never became.

Change: every node with other voters asks; only a voter withholds votes.

Evidence: RollbackCheckTest.aLearnerWhoseFolderWentBackOrWasEmptiedIsHalted before the fix, 2 of 2: "the rollback is reported: [... the group was not reached within 2000 ms; going on from the copy here, version 0 ... learner has lost entries that it had acknowledged ...]"; all 9 cases pass now.

--- a/src/main/java/reeldeal/fleet/node/RollbackCheck.java
+++ b/src/main/java/reeldeal/fleet/node/RollbackCheck.java
@@ -33,7 +33,7 @@
     private final StoreNode store;
     private final long starts;
     private final RollbackDetector detector;
-    private boolean votesAllowed;
+    private boolean peersAsked;
     private boolean ownCopyRead;
 
     /** Whether the check has ended, and what peers know is evidence no longer. */
@@ -60,15 +60,15 @@
     }
 
     /**
-     * Begins the check and, if other voters must be asked, withholds this node's votes; must be
-     * called before the store starts.
+     * Begins the check and, if this node votes, withholds its votes; must be called before the
+     * store starts. A learner asks as well: one whose directory was emptied may never become
+     * current, as the leader knows of entries that it had acknowledged.
      */
     public void begin() {
         store.onPeerMessage(TOPIC, this::onPeerMessage);
-        boolean isVoter = store.configuration().voters().contains(store.node());
-        votesAllowed = !isVoter || otherVoters().isEmpty();
-        if (!votesAllowed) {
-            store.withholdVotes(true);
+        peersAsked = otherVoters().isEmpty();
+        if (!peersAsked) {
+            store.withholdVotes(store.configuration().voters().contains(store.node()));
             polling =
                     loop.scheduleAtFixedRate(
                             this::poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -82,7 +82,7 @@
     boolean isPassed() {
         if (!ended && store.isCurrent()) {
             readOwnCopy();
-            ended = votesAllowed && store.isCurrent();
+            ended = peersAsked && store.isCurrent();
         }
         return ended;
     }
@@ -115,7 +115,7 @@
         Set<String> others = new TreeSet<>(store.configuration().all());
         others.remove(store.node());
         others.forEach(node -> send(node, QUESTION, starts));
-        decideOnVotes();
+        decide();
     }
 
     private void send(String node, String attribute, long value) {
@@ -123,10 +123,10 @@
         store.sendToPeer(node, TOPIC, message.getBytes(StandardCharsets.UTF_8));
     }
 
-    private void decideOnVotes() {
+    private void decide() {
         haltIfRolledBack();
-        if (!votesAllowed && detector.verdict(nowMs()) == RollbackDetector.Verdict.SOUND) {
-            votesAllowed = true;
+        if (!peersAsked && detector.verdict(nowMs()) == RollbackDetector.Verdict.SOUND) {
+            peersAsked = true;
             polling.cancel(false);
             store.withholdVotes(false);
         }
@@ -147,7 +147,7 @@
             send(from, ANSWER, startsKnown(from));
         } else if (!ended && !message.get(ANSWER).isEmpty()) {
             detector.onStartsReported(nowMs(), from, message.number(ANSWER, 0));
-            decideOnVotes();
+            decide();
         }
     }
 
--- a/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
+++ b/src/test/java/reeldeal/fleet/node/RollbackCheckTest.java
@@ -277,6 +277,17 @@
         assertIsHalted(node, 1);
     }
 
+    @Test
+    public void aLearnerWhoseFolderWentBackOrWasEmptiedIsHalted() throws Exception {
+        startGroup(THREE, true, 7);
+        kill(LEARNER);
+        assertIsHalted(LEARNER, 6);
+        kill(LEARNER);
+        log.clear();
+        deleteDirectory(LEARNER);
+        assertIsHalted(LEARNER, 1);
+    }
+
     /**
      * Guards against a group that is made from a backup, whose nodes are all taken for rolled back.
      */
