--- a/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -6,11 +6,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Rule;
@@ -23,7 +26,8 @@
  */
 public class RolledBackFolderTest {
     private static final Path SCENARIO = Path.of("src/test/resources/drill/rolled-back.json");
-    private static final String NODE = "b1";
+    private static final String VOTER = "b1";
+    private static final String LEARNER = "b3";
     private static final String OTHER_NODE = "b0";
     private static final String REPORT = "store: this folder went back";
     private static final int TIMEOUT_MS = 60_000;
@@ -62,12 +66,18 @@
         files.writeBrokerConfig();
         List<String> command = new Programs(null, null).initialCommand();
         fleet = new ProcessFleet(scenario, files, command, random, history);
-        broker = fleet.broker(NODE);
+        broker = fleet.broker(VOTER);
         fleet.start();
         for (BrokerProcess started : fleet.brokers()) {
             await(started.name + " is ready", () -> health(started).equals("200"));
         }
-        await("the node serves", this::isNodeServing);
+        useNode(VOTER);
+    }
+
+    /** Makes a node the one whose folder goes back. */
+    private void useNode(String name) throws Exception {
+        broker = fleet.broker(name);
+        await(name + " serves", this::isNodeServing);
     }
 
     @After
@@ -87,7 +97,7 @@
 
     private List<History.Event> eventsOfNode() throws IOException {
         Path file = folder.getRoot().toPath().resolve("history.txt");
-        return History.read(file).stream().filter(e -> e.source().equals(NODE)).toList();
+        return History.read(file).stream().filter(e -> e.source().equals(broker.name)).toList();
     }
 
     private String logOfNode() throws IOException {
@@ -100,7 +110,7 @@
                 .list("fleet members").stream()
                         .anyMatch(
                                 member ->
-                                        member.get("name").equals(NODE)
+                                        member.get("name").equals(broker.name)
                                                 && member.get("state").equals("serving"));
     }
 
@@ -123,7 +133,7 @@
 
     /** Kills the node and puts back a copy of its folder that lacks the latest starts. */
     private void replaceFolder() throws Exception {
-        Path directory = folder.getRoot().toPath().resolve(NODE);
+        Path directory = folder.getRoot().toPath().resolve(broker.name);
         broker.kill();
         DiskFaults.backUp(directory);
         for (int i = 0; i < 2; i++) {
@@ -192,6 +202,50 @@
     @Test
     public void aBrokerWhoseFolderWentBackIsNotReadyAndServesNothing() throws Exception {
         putBackOlderFolder();
+        assertServesNothing();
+        broker.terminate();
+        await("it ends when it is told to", () -> !broker.isAlive());
+    }
+
+    @Test
+    public void aLearnerWhoseFolderWentBackServesNothing() throws Exception {
+        useNode(LEARNER);
+        putBackOlderFolder();
+        assertServesNothing();
+    }
+
+    /**
+     * Guards against a learner that serves the copy in its empty folder, as it never catches up.
+     */
+    @Test
+    public void aLearnerWhoseFolderWasEmptiedServesNothing() throws Exception {
+        useNode(LEARNER);
+        startOnEmptyFolder();
+        assertServesNothing();
+    }
+
+    @Test
+    public void aVoterWhoseFolderWasEmptiedServesNothing() throws Exception {
+        startOnEmptyFolder();
+        assertServesNothing();
+    }
+
+    private void startOnEmptyFolder() throws Exception {
+        broker.kill();
+        Path directory = folder.getRoot().toPath().resolve(broker.name);
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+        broker.start();
+        await("serves", broker::isServing);
+        await("the rollback is noticed", () -> reports() == 1);
+        Thread.sleep(GRACE_MS);
+    }
+
+    /** Asserts what clients of queries, health and DNS get from the node, at once and later. */
+    private void assertServesNothing() throws Exception {
         List<String> wrong = new ArrayList<>();
         expect(wrong, "/_health", "503", health(broker));
         expect(wrong, "a query of the zone", "response code 2", soa());
@@ -204,8 +258,6 @@
         }
         expect(wrong, "/_health", "503", health(broker));
         assertEquals(List.of(), wrong);
-        broker.terminate();
-        await("it ends when it is told to", () -> !broker.isAlive());
     }
 
     private static void expect(List<String> wrong, String what, String expected, String found) {
@@ -222,11 +274,11 @@
     @Test
     public void aBrokerThatServesAStaleCopyStopsOnceTheGroupShowsTheRollback() throws Exception {
         replaceFolder();
-        fleet.partition(NODE, true, false);
+        fleet.partition(broker.name, true, false);
         broker.start();
         await("serves its copy", () -> logOfNode().contains("going on from the copy here"));
         await("is ready", () -> health(broker).equals("200"));
-        fleet.partition(NODE, false, false);
+        fleet.partition(broker.name, false, false);
         await("the rollback is noticed", () -> reports() == 1);
         Thread.sleep(GRACE_MS);
         assertEquals("503", health(broker));
