--- a/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
+++ b/src/test/java/reeldeal/faultinjection/RolledBackFolderTest.java
@@ -61,7 +61,9 @@
         Path root = folder.getRoot().toPath();
         history = new History(root.resolve("history.txt"));
         searchers = new SearcherFleet(scenario, random, history);
-        NodeFiles files = new NodeFiles(root, scenario, ProcessFleet.nodeNames(scenario));
+        List<String> voters =
+                ProcessFleet.nodeNames(scenario).subList(0, scenario.fleet().voters());
+        NodeFiles files = new NodeFiles(root, scenario, voters);
         files.writeZone(searchers.zoneRecords());
         files.writeBrokerConfig();
         List<String> command = new Programs(null, null).initialCommand();
@@ -71,6 +73,7 @@
         for (BrokerProcess started : fleet.brokers()) {
             await(started.name + " is ready", () -> health(started).equals("200"));
         }
+        assertTrue("the learner does not vote", !fleet.isVoter(fleet.broker(LEARNER)));
         useNode(VOTER);
     }
 
