--- a/src/main/java/reeldeal/dns/Secondary.java
+++ b/src/main/java/reeldeal/dns/Secondary.java
@@ -23,7 +23,7 @@
 
     private final int primaries;
     private int primary;
-    private long serial = -1;
+    private long serial = ZoneSuccession.NO_SERIAL;
     private long refreshMs;
     private long retryMs;
     private long expireMs;
@@ -97,7 +97,7 @@
      * primary will be contacted.
      */
     public boolean notified(long now, long newSerial) {
-        if (hasZone && !expired && newSerial >= 0 && !Zone.isLater(newSerial, serial)) {
+        if (hasZone && !expired && newSerial >= 0 && !isNewer(newSerial)) {
             return false;
         }
         if (stepInProgress) {
@@ -108,9 +108,13 @@
         return true;
     }
 
+    private boolean isNewer(long offeredSerial) {
+        return ZoneSuccession.isNewer(ZoneSuccession.Arrival.TRANSFER, serial, offeredSerial);
+    }
+
     /** Handles the serial of the primary's SOA and returns the next step. */
     public Step soaReceived(long now, long primarySerial) {
-        if (!hasZone || Zone.isLater(primarySerial, serial)) {
+        if (isNewer(primarySerial)) {
             return hasZone && !fullTransferNeeded ? Step.REQUEST_IXFR : Step.REQUEST_AXFR;
         }
         if (primarySerial != serial) {
@@ -126,10 +130,7 @@
      * serial is older than that of the unexpired local zone.
      */
     public boolean transferred(long now, Zone zone) {
-        if (hasZone
-                && !expired
-                && !Zone.isLater(zone.serial(), serial)
-                && zone.serial() != serial) {
+        if (hasZone && !expired && !isNewer(zone.serial()) && zone.serial() != serial) {
             failed(now);
             return false;
         }
--- a/src/main/java/reeldeal/dns/TransferIn.java
+++ b/src/main/java/reeldeal/dns/TransferIn.java
@@ -124,10 +124,12 @@
         }
         if (expected == Expect.SECOND && message.answers().size() == 1) {
             // A single SOA: the zone is up to date, or (over UDP only) a full transfer is needed.
-            return !Zone.isLater(Zone.serial(targetSoa.data()), currentZone.serial())
-                            && !currentZone.isEmpty()
-                    ? State.UP_TO_DATE
-                    : State.MORE;
+            return ZoneSuccession.isNewer(
+                            ZoneSuccession.Arrival.TRANSFER,
+                            currentZone.serial(),
+                            Zone.serial(targetSoa.data()))
+                    ? State.MORE
+                    : State.UP_TO_DATE;
         }
         return message.answers().isEmpty()
                 ? fail("a message without records before the transfer was complete")
@@ -227,7 +229,7 @@
             expected = Expect.ADDED;
             long from = Zone.serial(oldSoa.data());
             long to = Zone.serial(rr.data());
-            return Zone.isLater(to, from)
+            return ZoneSuccession.isNewer(ZoneSuccession.Arrival.UPDATE, from, to)
                     || reject(
                             "a change from serial "
                                     + from
--- a/src/main/java/reeldeal/dns/TransferOut.java
+++ b/src/main/java/reeldeal/dns/TransferOut.java
@@ -49,8 +49,8 @@
                         .filter(r -> r.type() == Rr.SOA && r.data().length > 20)
                         .mapToLong(r -> Zone.serial(r.data()))
                         .findFirst()
-                        .orElse(-1);
-        if (clientSerial >= 0 && !Zone.isLater(zone.serial(), clientSerial)) {
+                        .orElse(ZoneSuccession.NO_SERIAL);
+        if (!ZoneSuccession.isNewer(ZoneSuccession.Arrival.TRANSFER, clientSerial, zone.serial())) {
             return new TransferOut(request, List.of(zone.soa()).iterator(), key, mac);
         }
         List<Diff> diffs = clientSerial < 0 ? null : journal.since(clientSerial);
--- a/src/main/java/reeldeal/dns/Update.java
+++ b/src/main/java/reeldeal/dns/Update.java
@@ -159,7 +159,10 @@
         if (rr.type() == Rr.SOA) {
             boolean newer =
                     rr.name().equals(zone.origin)
-                            && Zone.isLater(Zone.serial(rr.data()), zone.serial());
+                            && ZoneSuccession.isNewer(
+                                    ZoneSuccession.Arrival.UPDATE,
+                                    zone.serial(),
+                                    Zone.serial(rr.data()));
             return newer
                     ? zone.with(rr.name(), Rr.SOA, new RrSet(rr.ttl(), List.of(rr.data())))
                     : zone;
--- a/src/main/java/reeldeal/dns/Zone.java
+++ b/src/main/java/reeldeal/dns/Zone.java
@@ -166,11 +166,6 @@
         return ByteBuffer.wrap(soa).getInt(soa.length - 20 + 4 * index) & 0xffffffffL;
     }
 
-    /** Returns whether a serial number is later than another (RFC 1982, section 3.2). */
-    public static boolean isLater(long serial, long otherSerial) {
-        return serial != otherSerial && (serial - otherSerial & 0xffffffffL) < 0x80000000L;
-    }
-
     /** Returns the zone with its serial number incremented, skipping 0 (RFC 2136, section 3.6). */
     Zone incrementSerial() {
         long next = serial() + 1 & 0xffffffffL;
--- a/src/main/java/reeldeal/endpoints/EndpointFeed.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFeed.java
@@ -17,6 +17,7 @@
 import reeldeal.decision.DecisionModule.EndpointState;
 import reeldeal.dns.Names;
 import reeldeal.dns.Zone;
+import reeldeal.dns.ZoneSuccession;
 
 /**
  * Passes the sources' observations to an {@link EndpointView}, and the resulting list to the
@@ -33,8 +34,6 @@
      */
     private static final int FIRST_LIST_TIMEOUT_MS = 2_000;
 
-    private static final long NO_VERSION = -1;
-
     private final ScheduledExecutorService loop;
     private final EndpointView view;
     private final LongSupplier clock;
@@ -45,6 +44,7 @@
     private final Map<String, EndpointReport> discoveryReports = new LinkedHashMap<>();
     private final Set<String> awaitedSources;
     private final Set<String> staleZones = new HashSet<>();
+    private final Map<String, Long> deliveredSerials = new HashMap<>();
     private boolean firstListPublished;
     private boolean firstListTimerStarted;
     private long tickScheduledAt = Long.MAX_VALUE;
@@ -81,42 +81,50 @@
 
     /**
      * Uses a zone from an old copy on disk because the store is unreachable. The copy is used until
-     * the store delivers the zone.
+     * the store delivers the zone, and not at all if it has done so already.
      */
     public void useStaleZone(Zone zone) {
+        long deliveredSerial = deliveredSerials.getOrDefault(zone.origin, ZoneSuccession.NO_SERIAL);
+        if (!ZoneSuccession.isNewer(
+                ZoneSuccession.Arrival.RESTART, deliveredSerial, zone.serial())) {
+            return;
+        }
         log.accept(
                 "members: "
                         + zone.origin
                         + ": using serial "
                         + zone.serial()
                         + " from an old copy on disk; the store is unreachable");
-        updateZone(zone, null);
+        observe(zone);
         staleZones.add(zone.origin);
     }
 
     /**
-     * Passes the present content of a zone to the view.
+     * Passes the present content of a zone to the view. Successive calls must be in the order in
+     * which the store committed the contents; their serials are not compared.
      *
      * @param updated the zone with its present content
      * @param changedNames the names that changed, or null if any name may have changed
      */
     public void updateZone(Zone updated, Set<String> changedNames) {
         boolean wasStale = staleZones.remove(updated.origin);
-        if (wasStale) {
-            view.forgetVersion(updated.origin);
-        }
+        deliveredSerials.put(updated.origin, updated.serial());
         Set<String> knownHosts = wasStale ? null : hostsByZone.get(updated.origin);
         if (knownHosts != null
                 && changedNames != null
                 && !concernsSearchers(updated, knownHosts, changedNames)) {
             return;
         }
-        List<EndpointReport> reports = EndpointReports.parse(updated);
+        observe(updated);
+    }
+
+    private void observe(Zone zone) {
+        List<EndpointReport> reports = EndpointReports.parse(zone);
         Set<String> hosts = new HashSet<>();
         reports.forEach(report -> hosts.add(report.name()));
-        hostsByZone.put(updated.origin, hosts);
-        awaitedSources.remove(updated.origin);
-        view.observe(clock.getAsLong(), updated.origin, updated.serial(), reports);
+        hostsByZone.put(zone.origin, hosts);
+        awaitedSources.remove(zone.origin);
+        view.observe(clock.getAsLong(), zone.origin, reports);
         publish();
     }
 
@@ -151,8 +159,7 @@
             }
         }
         awaitedSources.remove(DISCOVERY);
-        view.observe(
-                clock.getAsLong(), DISCOVERY, NO_VERSION, List.copyOf(discoveryReports.values()));
+        view.observe(clock.getAsLong(), DISCOVERY, List.copyOf(discoveryReports.values()));
         publish();
     }
 
--- a/src/main/java/reeldeal/endpoints/EndpointSource.java
+++ b/src/main/java/reeldeal/endpoints/EndpointSource.java
@@ -6,14 +6,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import reeldeal.dns.Zone;
 
 /**
- * The reports of one source by set, and the version of the observation that they are from. Owned by
- * the view and used on its thread; times are Unix milliseconds.
+ * The reports of one source by set. Owned by the view and used on its thread; times are Unix
+ * milliseconds.
  */
 final class EndpointSource {
-    private static final long NO_VERSION = -1;
     private static final long NOT_EMPTY = -1;
 
     /** The reports of a set; while an empty set is in its grace period, its last reports. */
@@ -29,7 +27,6 @@
     private final String name;
     private final int rank;
     private final Map<String, ReportSet> sets = new TreeMap<>();
-    private long version = NO_VERSION;
     private boolean expired;
 
     EndpointSource(String name, int rank) {
@@ -46,30 +43,10 @@
         return rank;
     }
 
-    long version() {
-        return version;
-    }
-
     boolean isExpired() {
         return expired;
     }
 
-    /**
-     * Rule 1: whether an observation with this version is applied; an old copy is not. A version
-     * below 0 stands for none.
-     */
-    boolean accepts(long observedVersion) {
-        return observedVersion < 0
-                || version < 0
-                || expired
-                || observedVersion == version
-                || Zone.isLater(observedVersion, version);
-    }
-
-    void forgetVersion() {
-        version = NO_VERSION;
-    }
-
     void expire() {
         expired = true;
         sets.clear();
@@ -78,11 +55,9 @@
     /** Replaces all reports, and starts the grace periods of sets that became empty. */
     void update(
             long now,
-            long observedVersion,
             List<EndpointReport> reports,
             long emptyGraceMs,
             EndpointChangeLog changeLog) {
-        version = observedVersion;
         expired = false;
         Map<String, List<EndpointReport>> bySet = new TreeMap<>();
         for (EndpointReport report : reports) {
--- a/src/main/java/reeldeal/endpoints/EndpointView.java
+++ b/src/main/java/reeldeal/endpoints/EndpointView.java
@@ -14,9 +14,8 @@
  * published. The rules:
  *
  * <ol>
- *   <li>An observation of a source is applied only if its version is the last one or a later one
- *       (RFC 1982), so that an old copy does not list removed searchers again. After a source has
- *       expired, any version is applied.
+ *   <li>The observations of a source are applied in the order in which they are made. Each one must
+ *       be newer than those before it; {@link reeldeal.dns.ZoneSuccession} sees to that for zones.
  *   <li>A name that leaves a set which still lists other names is draining immediately, and removed
  *       after {@link Rules#goneAfterMs}. When it comes back it counts as a new process that needs
  *       to warm up, even with the same address; so does a name whose address changed. A name whose
@@ -117,34 +116,11 @@
      *
      * @param now Unix time in ms
      * @param sourceName one of the names given to the constructor
-     * @param version the zone's serial number, or below 0 if the source has none
      * @param reports all reports of the source
-     * @return false if the version is neither the last one nor a later one, so that nothing changed
      */
-    public boolean observe(
-            long now, String sourceName, long version, List<EndpointReport> reports) {
-        EndpointSource source = sources.get(sourceName);
-        if (!source.accepts(version)) {
-            changeLog.log(
-                    sourceName
-                            + ": serial "
-                            + version
-                            + " is not later than "
-                            + source.version()
-                            + "; not taken");
-            return false;
-        }
-        source.update(now, version, reports, rules.emptyGraceMs(), changeLog);
+    public void observe(long now, String sourceName, List<EndpointReport> reports) {
+        sources.get(sourceName).update(now, reports, rules.emptyGraceMs(), changeLog);
         applyRules(now);
-        return true;
-    }
-
-    /**
-     * Accepts any version in the next observation of a source, because its last observation was
-     * from an old copy.
-     */
-    public void forgetVersion(String sourceName) {
-        sources.get(sourceName).forgetVersion();
     }
 
     /** Drops the reports of a source that is out of date; {@code now} is Unix time in ms. */
