--- a/src/main/java/reeldeal/dns/Journal.java
+++ b/src/main/java/reeldeal/dns/Journal.java
@@ -92,18 +92,19 @@
 
     /**
      * Returns the changes from this serial to the latest, or null if some of them are no longer
-     * held.
+     * held. Also returns null if two versions of the zone had this serial, because it went round
+     * the circle: it is not known then which of them the client has.
      */
     List<Diff> since(long serial) {
         List<Diff> diffsSince = new ArrayList<>();
-        boolean reached = false;
+        int versions = 0;
         for (Diff diff : diffs) {
-            reached |= diff.fromSerial() == serial;
-            if (reached) {
+            versions += diff.fromSerial() == serial ? 1 : 0;
+            if (versions > 0) {
                 diffsSince.add(diff);
             }
         }
-        return reached ? diffsSince : null;
+        return versions == 1 ? diffsSince : null;
     }
 
     int recordCount() {
--- a/src/main/java/reeldeal/dns/Secondary.java
+++ b/src/main/java/reeldeal/dns/Secondary.java
@@ -1,5 +1,7 @@
 package reeldeal.dns;
 
+import reeldeal.dns.ZoneSuccession.Verdict;
+
 /**
  * Decides when a secondary server contacts its primaries and what it requests (RFC 1034, section
  * 4.3.5; NOTIFY by RFC 1996). This state machine receives the time in milliseconds and the result
@@ -89,7 +91,7 @@
         }
         stepInProgress = true;
         checkAgain = false;
-        return hasZone && !fullTransferNeeded ? Step.QUERY_SOA : Step.REQUEST_AXFR;
+        return hasZone ? Step.QUERY_SOA : Step.REQUEST_AXFR;
     }
 
     /**
@@ -97,7 +99,7 @@
      * primary will be contacted.
      */
     public boolean notified(long now, long newSerial) {
-        if (hasZone && !expired && newSerial >= 0 && !isNewer(newSerial)) {
+        if (hasZone && !expired && newSerial >= 0 && judge(newSerial) != Verdict.NEWER) {
             return false;
         }
         if (stepInProgress) {
@@ -108,35 +110,34 @@
         return true;
     }
 
-    private boolean isNewer(long offeredSerial) {
-        return ZoneSuccession.isNewer(ZoneSuccession.Arrival.TRANSFER, serial, offeredSerial);
+    /**
+     * Judges a copy that a primary offers, or has sent. An expired zone is not replaced by an older
+     * copy either: its searchers stay out of service, and must not come back with that copy.
+     */
+    public Verdict judge(long offeredSerial) {
+        return ZoneSuccession.judge(ZoneSuccession.Arrival.TRANSFER, serial, offeredSerial);
     }
 
-    /** Handles the serial of the primary's SOA and returns the next step. */
+    /**
+     * Handles the serial of the primary's SOA and returns the next step. An older serial does not
+     * confirm the local zone; another primary is asked.
+     */
     public Step soaReceived(long now, long primarySerial) {
-        if (isNewer(primarySerial)) {
-            return hasZone && !fullTransferNeeded ? Step.REQUEST_IXFR : Step.REQUEST_AXFR;
-        }
-        if (primarySerial != serial) {
-            failed(now); // the primary has an older serial, which does not confirm the local zone
-            return Step.NOTHING;
+        switch (judge(primarySerial)) {
+            case NEWER -> {
+                return hasZone && !fullTransferNeeded ? Step.REQUEST_IXFR : Step.REQUEST_AXFR;
+            }
+            case SAME -> confirmed(now);
+            case OLDER -> failed(now);
+            default -> throw new IllegalStateException();
         }
-        confirmed(now);
         return Step.NOTHING;
     }
 
-    /**
-     * Handles a completed transfer. Returns whether to install the zone; it is rejected if its
-     * serial is older than that of the unexpired local zone.
-     */
-    public boolean transferred(long now, Zone zone) {
-        if (hasZone && !expired && !isNewer(zone.serial()) && zone.serial() != serial) {
-            failed(now);
-            return false;
-        }
+    /** Handles a transferred zone that has been installed. */
+    public void installed(long now, Zone zone) {
         readTimers(zone);
         confirmed(now);
-        return true;
     }
 
     /** Records that a primary confirmed the local zone as its latest version. */
@@ -150,7 +151,7 @@
 
     /**
      * Handles an incremental transfer that could not be applied: a full transfer is due at once
-     * (RFC 1995, section 4).
+     * (RFC 1995, section 4), from whichever primary then has a newer copy.
      */
     public void incrementalTransferFailed(long now) {
         fullTransferNeeded = true;
--- a/src/main/java/reeldeal/dns/TransferIn.java
+++ b/src/main/java/reeldeal/dns/TransferIn.java
@@ -124,18 +124,22 @@
         }
         if (expected == Expect.SECOND && message.answers().size() == 1) {
             // A single SOA: the zone is up to date, or (over UDP only) a full transfer is needed.
-            return ZoneSuccession.isNewer(
-                            ZoneSuccession.Arrival.TRANSFER,
-                            currentZone.serial(),
-                            Zone.serial(targetSoa.data()))
-                    ? State.MORE
-                    : State.UP_TO_DATE;
+            return acceptSingleSoa(Zone.serial(targetSoa.data()));
         }
         return message.answers().isEmpty()
                 ? fail("a message without records before the transfer was complete")
                 : State.MORE;
     }
 
+    private State acceptSingleSoa(long serial) {
+        long current = currentZone.serial();
+        return switch (ZoneSuccession.judge(ZoneSuccession.Arrival.TRANSFER, current, serial)) {
+            case NEWER -> State.MORE;
+            case SAME -> State.UP_TO_DATE;
+            case OLDER -> fail("serial " + serial + " is not later than " + current);
+        };
+    }
+
     private boolean verifySignature(Message message) {
         if (!Tsig.isSigned(message)) {
             if (firstMessage || ++unsignedCount > MAX_UNSIGNED) {
--- a/src/main/java/reeldeal/zones/HostedZone.java
+++ b/src/main/java/reeldeal/zones/HostedZone.java
@@ -3,12 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import reeldeal.dns.Journal;
@@ -18,6 +18,7 @@
 import reeldeal.dns.RrSet;
 import reeldeal.dns.Update;
 import reeldeal.dns.Zone;
+import reeldeal.dns.ZoneSuccession;
 import reeldeal.store.Change;
 import reeldeal.store.StoreNode;
 
@@ -29,8 +30,6 @@
 final class HostedZone {
     private static final int MAX_PENDING_UPDATES = 4_000;
     private static final int BATCH_CHARS = 100_000;
-    private static final int CHUNK_CHARS = 60_000;
-    private static final int KEYS_PER_DELETION = 500;
 
     private record PendingUpdate(Message message, IntConsumer rcode) {}
 
@@ -333,21 +332,28 @@
     }
 
     /**
-     * Stores the result of an incremental transfer as one write, or by {@link #replace} if the
-     * changes are too large for one write or the store has no zone yet.
+     * Stores the result of an incremental transfer as one write, or as a replacement if the changes
+     * are too large for one write or the store has no zone yet. The changes are not used if the
+     * current zone is not the one at which they begin.
      *
      * @param transferred the zone after all changes
+     * @param diffs the changes, at least one
      * @param onDone receives whether the zone was committed
      */
     void applyTransferredChanges(
             Zone transferred, List<Journal.Diff> diffs, Consumer<Boolean> onDone) {
+        long firstSerial = diffs.get(0).fromSerial();
+        if (zone.serial() != firstSerial) {
+            onDone.accept(false);
+            return;
+        }
         Set<String> setKeys = new LinkedHashSet<>();
         int chars = 0;
         for (Journal.Diff diff : diffs) {
             chars += collectSetKeys(diff, setKeys);
         }
         if (chars > BATCH_CHARS || activeGeneration < 0) {
-            replace(transferred, onDone);
+            replaceWhile(() -> zone.serial() == firstSerial, transferred, onDone);
             return;
         }
         store.write(
@@ -358,29 +364,33 @@
     // ---- replacement of the whole zone ----
 
     /**
-     * Writes a whole zone as a new generation in several writes, and makes it the active one with
-     * the last write.
+     * Replaces the whole zone if the replacement is newer than the current zone, both now and when
+     * the replacement has been written.
      *
-     * @param onDone receives true once the new zone is active, false if that failed or another
-     *     replacement is running
+     * @param onDone receives true once the new zone is active, false if that failed, another
+     *     replacement is running, or the replacement is not newer
      */
-    void replace(Zone replacement, Consumer<Boolean> onDone) {
+    void replace(ZoneSuccession.Arrival arrival, Zone replacement, Consumer<Boolean> onDone) {
+        replaceWhile(
+                () -> ZoneSuccession.isNewer(arrival, zone.serial(), replacement.serial()),
+                replacement,
+                onDone);
+    }
+
+    private void replaceWhile(BooleanSupplier isNewer, Zone replacement, Consumer<Boolean> onDone) {
         if (replacing) {
             onDone.accept(false);
             return;
         }
         replacing = true;
-        long newGeneration =
-                1
-                        + Math.max(
-                                Math.max(0, activeGeneration),
-                                inactiveGenerations.keySet().stream()
-                                        .mapToLong(g -> g)
-                                        .max()
-                                        .orElse(0));
-        new Replacement(
-                        newGeneration,
+        new ZoneReplacement(
+                        store,
+                        loop,
+                        log,
+                        new ZoneReplacement.Target(
+                                entry.origin(), nextGeneration(), obsoleteGenerations),
                         replacement.sets(),
+                        isNewer,
                         committed -> {
                             replacing = false;
                             onDone.accept(committed);
@@ -389,90 +399,10 @@
                 .writeNextChunk();
     }
 
-    /** Writes a zone as a new generation, one chunk after the other. */
-    private final class Replacement {
-        private final long newGeneration;
-        private final Iterator<Zone.OwnedRrSet> sets;
-        private final Consumer<Boolean> onDone;
-
-        Replacement(long newGeneration, Iterator<Zone.OwnedRrSet> sets, Consumer<Boolean> onDone) {
-            this.newGeneration = newGeneration;
-            this.sets = sets;
-            this.onDone = onDone;
-        }
-
-        void writeNextChunk() {
-            List<Change> changes = new ArrayList<>();
-            for (int chars = 0; chars < CHUNK_CHARS && sets.hasNext(); ) {
-                Zone.OwnedRrSet placed = sets.next();
-                Change change =
-                        new Change(
-                                ZoneKeys.recordSetKey(
-                                        entry.origin(),
-                                        newGeneration,
-                                        placed.name(),
-                                        placed.type()),
-                                ZoneKeys.encode(placed.set()));
-                changes.add(change);
-                chars += 20 + change.key().length() + change.value().length();
-            }
-            boolean last = !sets.hasNext();
-            if (last) {
-                changes.add(
-                        new Change(
-                                ZoneKeys.headKey(entry.origin()), String.valueOf(newGeneration)));
-            }
-            store.write(
-                    changes,
-                    result -> {
-                        if (!(result instanceof StoreNode.Committed)) {
-                            log.accept(
-                                    "dns: "
-                                            + entry.origin()
-                                            + ": replacement zone was not confirmed as committed: "
-                                            + result);
-                            onDone.accept(false);
-                        } else if (last) {
-                            onDone.accept(true);
-                            deleteObsoleteGenerations();
-                        } else {
-                            loop.execute(this::writeNextChunk);
-                        }
-                    });
-        }
-
-        /**
-         * Deletes the record sets of obsolete generations from the store, including those of
-         * interrupted replacements, a limited number of keys per write.
-         */
-        private void deleteObsoleteGenerations() {
-            if (obsoleteGenerations.isEmpty()) {
-                return;
-            }
-            long obsolete = obsoleteGenerations.iterator().next();
-            List<Change> deletions =
-                    store
-                            .keysUnder(
-                                    obsolete == 0
-                                            ? ZoneKeys.LEGACY + entry.origin() + "/"
-                                            : ZoneKeys.generationPrefix(entry.origin(), obsolete),
-                                    KEYS_PER_DELETION)
-                            .stream()
-                            .map(k -> new Change(k, null))
-                            .toList();
-            if (deletions.isEmpty()) {
-                obsoleteGenerations.remove(obsolete);
-                deleteObsoleteGenerations();
-                return;
-            }
-            store.write(
-                    deletions,
-                    result -> {
-                        if (result instanceof StoreNode.Committed) {
-                            loop.execute(this::deleteObsoleteGenerations);
-                        }
-                    });
-        }
+    private long nextGeneration() {
+        long highestInactive =
+                inactiveGenerations.keySet().stream().mapToLong(g -> g).max().orElse(0);
+        return 1 + Math.max(Math.max(0, activeGeneration), highestInactive);
     }
 
     /**
--- a/src/main/java/reeldeal/zones/SecondaryZoneClient.java
+++ b/src/main/java/reeldeal/zones/SecondaryZoneClient.java
@@ -16,6 +16,8 @@
 import reeldeal.dns.TransferIn;
 import reeldeal.dns.Tsig;
 import reeldeal.dns.Zone;
+import reeldeal.dns.ZoneSuccession;
+import reeldeal.dns.ZoneSuccession.Verdict;
 
 /**
  * Keeps a secondary zone up to date from its primaries: carries out the steps that {@link
@@ -201,11 +203,7 @@
                 secondary.confirmed(now.getAsLong());
                 onConfirmed();
             }
-            case FULL_TRANSFER -> {
-                closeLink();
-                // The connection is closed, but the step ends only once the zone is committed.
-                zone.replace(transfer.zone(), committed -> onTransferStored(committed, "whole"));
-            }
+            case FULL_TRANSFER -> installWholeZone(from, transfer.zone());
             case INCREMENTAL_TRANSFER -> {
                 closeLink();
                 zone.applyTransferredChanges(
@@ -222,6 +220,33 @@
         }
     }
 
+    private void installWholeZone(PeerLink from, Zone transferred) {
+        switch (secondary.judge(transferred.serial())) {
+            case NEWER -> {
+                closeLink();
+                // The connection is closed, but the step ends only once the zone is committed.
+                zone.replace(
+                        ZoneSuccession.Arrival.TRANSFER,
+                        transferred,
+                        committed -> onTransferStored(committed, "whole"));
+            }
+            case SAME -> {
+                closeLink();
+                secondary.confirmed(now.getAsLong());
+                onConfirmed();
+            }
+            case OLDER -> {
+                from.close();
+                ended(notLater(transferred.serial()));
+            }
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private String notLater(long serial) {
+        return "serial " + serial + " is not later than " + zone.zone().serial();
+    }
+
     private void handleSoaResponse(byte[] bytes) {
         try {
             Message message = Message.parse(bytes);
@@ -261,12 +286,14 @@
                 return;
             }
             long serial = Zone.soaField(soa.data(), 0);
+            Verdict verdict = secondary.judge(serial);
+            if (verdict == Verdict.OLDER) {
+                logIfNew(notLater(serial));
+            }
             Secondary.Step next = secondary.soaReceived(now.getAsLong(), serial);
             if (next == Secondary.Step.NOTHING) {
                 closeLink();
-                if (serial != zone.zone().serial()) {
-                    logIfNew("serial " + serial + " is not later than " + zone.zone().serial());
-                } else {
+                if (verdict == Verdict.SAME) {
                     onConfirmed();
                 }
                 scheduleTick();
@@ -286,7 +313,8 @@
     }
 
     private void onTransferStored(boolean committed, String extent) {
-        if (committed && secondary.transferred(now.getAsLong(), zone.zone())) {
+        if (committed) {
+            secondary.installed(now.getAsLong(), zone.zone());
             log.accept(
                     "dns: "
                             + zone.entry.origin()
@@ -302,7 +330,7 @@
             lastLoggedProblem = "";
             zone.storeState(now.getAsLong(), false);
             stateStoredAt = now.getAsLong();
-        } else if (!committed) {
+        } else {
             secondary.failed(now.getAsLong());
         }
         scheduleTick();
--- a/src/main/java/reeldeal/zones/ZoneService.java
+++ b/src/main/java/reeldeal/zones/ZoneService.java
@@ -12,6 +12,7 @@
 import reeldeal.dns.TransferOut;
 import reeldeal.dns.Zone;
 import reeldeal.dns.ZoneFile;
+import reeldeal.dns.ZoneSuccession;
 import reeldeal.endpoints.EndpointFeed;
 import reeldeal.store.Change;
 import reeldeal.store.KeyValueState;
@@ -233,6 +234,7 @@
                         loaded -> {
                             if (loaded != null) {
                                 zone.replace(
+                                        ZoneSuccession.Arrival.ZONE_FILE,
                                         loaded,
                                         committed ->
                                                 log.accept(
--- a/src/test/java/reeldeal/dns/TransferInTest.java
+++ b/src/test/java/reeldeal/dns/TransferInTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.Test;
+import reeldeal.dns.ZoneSuccession.Verdict;
 
 /** Tests transfers from primaries that follow the protocol and from primaries that violate it. */
 public class TransferInTest {
@@ -254,7 +255,8 @@
         assertEquals("a failure selects the next primary", 1, secondary.primary());
         assertEquals(Secondary.Step.NOTHING, secondary.tick(999));
         assertEquals(Secondary.Step.REQUEST_AXFR, secondary.tick(1_000));
-        assertTrue(secondary.transferred(1_000, zone(5)));
+        assertEquals(Verdict.NEWER, secondary.judge(5));
+        secondary.installed(1_000, zone(5));
         assertEquals("the refresh interval", 3_601_000, secondary.nextAt());
         assertTrue(
                 "only a NOTIFY with a newer serial triggers a check",
@@ -263,8 +265,10 @@
         assertTrue("a NOTIFY during a step triggers another check", secondary.notified(2_001, 8));
         assertEquals(Secondary.Step.REQUEST_IXFR, secondary.soaReceived(2_010, 7));
         secondary.incrementalTransferFailed(2_020);
-        assertEquals(Secondary.Step.REQUEST_AXFR, secondary.tick(2_020));
-        assertTrue(secondary.transferred(2_030, zone(7)));
+        assertEquals(Secondary.Step.QUERY_SOA, secondary.tick(2_020));
+        assertEquals(Secondary.Step.REQUEST_AXFR, secondary.soaReceived(2_025, 7));
+        assertEquals(Verdict.NEWER, secondary.judge(7));
+        secondary.installed(2_030, zone(7));
         assertEquals(
                 "the SOA is queried after the refresh interval",
                 Secondary.Step.QUERY_SOA,
@@ -281,9 +285,15 @@
         }
         assertEquals("expires exactly at the expire interval", 2_030 + 86_400_000, now);
         assertTrue(secondary.expired());
-        secondary.tick(secondary.nextAt());
-        assertTrue(
-                "an expired zone accepts any serial", secondary.transferred(now + 60_000, zone(3)));
-        assertTrue(!secondary.expired());
+        assertEquals(Secondary.Step.QUERY_SOA, secondary.tick(secondary.nextAt()));
+        assertEquals(
+                "an old copy does not replace an expired zone either",
+                Secondary.Step.NOTHING,
+                secondary.soaReceived(now + 60_000, 3));
+        assertEquals(Verdict.OLDER, secondary.judge(3));
+        assertTrue(secondary.expired());
+        assertEquals(Secondary.Step.QUERY_SOA, secondary.tick(secondary.nextAt()));
+        assertEquals(Secondary.Step.NOTHING, secondary.soaReceived(now + 120_000, 7));
+        assertTrue("the same serial confirms it", !secondary.expired());
     }
 }
--- a/src/test/java/reeldeal/zones/SecondaryTest.java
+++ b/src/test/java/reeldeal/zones/SecondaryTest.java
@@ -285,6 +285,70 @@
         }
     }
 
+    /** A primary with one serial, whose AXFR may have another one, and which can be cut off. */
+    private static class SerialPrimary extends ScriptedPrimary {
+        volatile long serial;
+        volatile long transferredSerial;
+        volatile boolean endsAtIxfr;
+        private volatile boolean cutOff;
+
+        SerialPrimary(long serial) throws IOException {
+            this.serial = serial;
+            this.transferredSerial = serial;
+        }
+
+        @Override
+        void respond(Message query, DataOutputStream out) throws IOException {
+            int type = query.getQuestion().getType();
+            cutOff |= endsAtIxfr && type == Type.IXFR;
+            if (cutOff) {
+                throw new IOException("cut off by the script");
+            }
+            if (type == Type.SOA) {
+                answer(query, out, soa(serial));
+                return;
+            }
+            answer(
+                    query,
+                    out,
+                    soa(transferredSerial),
+                    ORIGIN + " NS ns",
+                    "t" + transferredSerial + " A 127.0.0.1",
+                    soa(transferredSerial));
+        }
+    }
+
+    /** Guards against an old copy of another primary that is taken when an IXFR breaks off. */
+    @Test
+    public void aLaggingPrimarysCopyIsNotTakenAfterABrokenIncrementalTransfer() throws Exception {
+        try (SerialPrimary current = new SerialPrimary(2);
+                SerialPrimary lagging = new SerialPrimary(1);
+                ZoneFixture secondary = secondaryOf(Map.of(), current.peer(), lagging.peer())) {
+            secondary.awaitSerial(ORIGIN, 2);
+            current.endsAtIxfr = true;
+            current.serial = 3;
+            notify(secondary, 3);
+            secondary.awaitLog(lagging.peer().address() + ": serial 1 is not later than 2");
+            assertEquals(2, secondary.serial(ORIGIN));
+            assertEquals(Rcode.NXDOMAIN, secondary.ask("t1." + ORIGIN, Type.A).getRcode());
+        }
+    }
+
+    /** Guards against a whole transfer that is older than the serial that its primary told. */
+    @Test
+    public void aWholeTransferOfAnOldCopyIsNotTaken() throws Exception {
+        try (SerialPrimary primary = new SerialPrimary(2);
+                ZoneFixture secondary = secondaryOf(Map.of(), primary.peer())) {
+            secondary.awaitSerial(ORIGIN, 2);
+            primary.transferredSerial = 1;
+            primary.serial = 3;
+            notify(secondary, 3);
+            secondary.awaitLog(primary.peer().address() + ": serial 1 is not later than 2");
+            assertEquals(2, secondary.serial(ORIGIN));
+            assertEquals(Rcode.NXDOMAIN, secondary.ask("t1." + ORIGIN, Type.A).getRcode());
+        }
+    }
+
     private static void notify(ZoneFixture fixture, long serial) throws Exception {
         Message notify =
                 Message.newQuery(Record.newRecord(Name.fromString(ORIGIN), Type.SOA, DClass.IN));
--- a/src/test/java/reeldeal/zones/SerialResetTest.java
+++ b/src/test/java/reeldeal/zones/SerialResetTest.java
@@ -121,6 +121,21 @@
         }
     }
 
+    /** Guards against changes that are sent to a client whose version cannot be told by serial. */
+    @Test
+    public void aSerialThatOccurredTwiceLeadsToAWholeTransfer() throws Exception {
+        try (ZoneFixture fixture = ZoneFixture.of(ORIGIN, zone())) {
+            send(fixture, takeOut(0));
+            send(fixture, setSerial(FIRST_SERIAL + LARGEST_STEP));
+            send(fixture, setSerial(FIRST_SERIAL - 2));
+            send(fixture, takeOut(1));
+            send(fixture, takeOut(2));
+            assertEquals(1, fixture.ixfr(FIRST_SERIAL - 1).size());
+            send(fixture, takeOut(3));
+            assertEquals("a whole transfer", null, fixture.ixfr(FIRST_SERIAL));
+        }
+    }
+
     @Test
     public void anUpdateWithAnEarlierSerialChangesNothing() throws Exception {
         try (ZoneFixture fixture = ZoneFixture.of(ORIGIN, zone())) {
