--- a/src/main/java/reeldeal/endpoints/Departure.java
+++ b/src/main/java/reeldeal/endpoints/Departure.java
@@ -3,14 +3,14 @@
 import java.util.regex.Pattern;
 
 /**
- * The departure of a name from the view. It is saved across a restart as a line {@code NAME UNIX_MS
- * RANK gone|draining}.
+ * The statement of one source that a searcher is draining or gone. It is saved across a restart as
+ * a line {@code NAME UNIX_MS RANK gone|draining}.
  *
  * @param name name of the searcher
- * @param departedAtMs time of the departure, Unix time in milliseconds
- * @param rank rank of the source that dropped the name, {@link Integer#MAX_VALUE} if none did
- * @param unlisted whether the name was unlisted, not only marked as draining, so that the searcher
- *     comes back as a new process
+ * @param departedAtMs time of the statement, Unix time in milliseconds
+ * @param rank rank of the source
+ * @param unlisted whether the searcher is gone, or was gone before the source listed it as
+ *     draining, so that it comes back as a new process
  */
 record Departure(String name, long departedAtMs, int rank, boolean unlisted) {
     private static final String UNLISTED = "gone";
@@ -18,6 +18,10 @@
     private static final Pattern TIME = Pattern.compile("[0-9]{1,15}");
     private static final Pattern RANK = Pattern.compile("[0-9]{1,5}");
 
+    Departure withRank(int newRank) {
+        return new Departure(name, departedAtMs, newRank, unlisted);
+    }
+
     String format() {
         return name + ' ' + departedAtMs + ' ' + rank + ' ' + (unlisted ? UNLISTED : DRAINING);
     }
--- a/src/main/java/reeldeal/endpoints/EndpointFeed.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFeed.java
@@ -150,16 +150,19 @@
         if (event.kind() == EndpointListKind.COMPLETE) {
             discoveryReports.clear();
         }
+        Set<String> gone = new HashSet<>();
         for (Searcher searcher : event.entries()) {
             EndpointReport report = EndpointReports.fromDiscovery(searcher);
             if (report == null) {
                 discoveryReports.remove(searcher.name());
+                gone.add(searcher.name());
             } else {
                 discoveryReports.put(searcher.name(), report);
+                gone.remove(searcher.name());
             }
         }
         awaitedSources.remove(DISCOVERY);
-        view.observe(clock.getAsLong(), DISCOVERY, List.copyOf(discoveryReports.values()));
+        view.observe(clock.getAsLong(), DISCOVERY, List.copyOf(discoveryReports.values()), gone);
         publish();
     }
 
@@ -171,9 +174,15 @@
         publish();
     }
 
-    /** Restores the text saved before a restart; must be called before the first observation. */
+    /**
+     * Restores the text saved before a restart. It may be called several times, and after the first
+     * observation: what a source has said since the start takes precedence.
+     */
     public void restore(String text) {
         view.restore(clock.getAsLong(), text);
+        if (firstListPublished) {
+            publish();
+        }
     }
 
     /** Returns the entries of the view, with the reasons for their states. */
--- a/src/main/java/reeldeal/endpoints/EndpointFold.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFold.java
@@ -4,14 +4,15 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import reeldeal.core.Searcher;
 import reeldeal.decision.DecisionModule.EndpointState;
 import reeldeal.endpoints.EndpointView.AdministrativeOverride;
+import reeldeal.endpoints.SourceStatements.Statement;
 
 /**
  * Applies the rules of {@link EndpointView} once to all sources and names, at one time. An object
@@ -20,6 +21,10 @@
  */
 final class EndpointFold {
     private static final int MAX_TRACKED_NAMES = 10_000;
+
+    /** The number of departed names up to which none is forgotten because of its age. */
+    private static final int MAX_OLD_DEPARTURES = 1_000;
+
     private static final String OVERRIDE_REASON = "the operator's word";
 
     private final long now;
@@ -47,14 +52,11 @@
 
     /** Applies the rules, and returns the time at which they must be applied again. */
     long run() {
-        Map<String, List<SourceFinding>> findings = new TreeMap<>();
-        for (EndpointSource source : sources) {
-            collectFindings(source, findings);
-        }
+        Map<EndpointSource, Map<String, List<EndpointReport>>> reports = collectReports();
         List<TrackedEndpoint> damped = new ArrayList<>();
         endpoints.forEach(
                 (name, endpoint) -> {
-                    update(name, endpoint, findings.getOrDefault(name, List.of()));
+                    update(name, endpoint, findings(name, endpoint, reports));
                     if (endpoint.isDamped()) {
                         damped.add(endpoint);
                     }
@@ -70,19 +72,44 @@
 
     // ---- findings: the result of each source for each name ----
 
-    private void collectFindings(EndpointSource source, Map<String, List<SourceFinding>> findings) {
-        runAgainAt(source.dropEmptySets(now, rules.emptyGraceMs()));
-        source.reportsByName()
-                .forEach(
-                        (name, reports) -> {
-                            TrackedEndpoint endpoint =
-                                    endpoints.computeIfAbsent(name, key -> new TrackedEndpoint());
-                            SourceFinding finding = resolve(source, endpoint, reports);
-                            if (finding != null) {
-                                findings.computeIfAbsent(name, key -> new ArrayList<>())
-                                        .add(finding);
-                            }
-                        });
+    /** Returns the reports of the sources that report, in the order of their ranks. */
+    private Map<EndpointSource, Map<String, List<EndpointReport>>> collectReports() {
+        Map<EndpointSource, Map<String, List<EndpointReport>>> bySource = new LinkedHashMap<>();
+        for (EndpointSource source : sources) {
+            runAgainAt(source.dropEmptySets(now, rules.emptyGraceMs()));
+            if (source.isReporting()) {
+                Map<String, List<EndpointReport>> byName = source.reportsByName();
+                byName.keySet()
+                        .forEach(
+                                name ->
+                                        endpoints
+                                                .computeIfAbsent(name, key -> new TrackedEndpoint())
+                                                .onReported(now));
+                bySource.put(source, byName);
+            }
+        }
+        return bySource;
+    }
+
+    /** Records what the sources say of a name, and returns their findings by rank. */
+    private List<SourceFinding> findings(
+            String name,
+            TrackedEndpoint endpoint,
+            Map<EndpointSource, Map<String, List<EndpointReport>>> reportsBySource) {
+        List<SourceFinding> findings = new ArrayList<>();
+        reportsBySource.forEach(
+                (source, byName) -> {
+                    List<EndpointReport> reports = byName.get(name);
+                    if (reports == null) {
+                        endpoint.statements().onNotListed(source.rank(), now);
+                        return;
+                    }
+                    SourceFinding finding = resolve(source, endpoint, reports);
+                    if (finding != null) {
+                        findings.add(finding);
+                    }
+                });
+        return findings;
     }
 
     /**
@@ -95,39 +122,40 @@
         boolean draining = reports.stream().anyMatch(r -> r.state() != EndpointState.READY);
         List<EndpointReport> valid =
                 reports.stream().filter(r -> r.invalidReason() == null).toList();
-        if (!valid.isEmpty()) {
-            endpoint.onValidReport(source.rank());
-            ReportSelection selected = ReportSelection.select(valid, endpoint.published());
-            return new SourceFinding(
-                    source,
-                    draining ? selected.report().asDraining() : selected.report(),
-                    selected.address(),
-                    selected.cell(),
-                    selected.note(),
-                    false);
-        }
-        EndpointReport invalid = reports.get(0);
-        SourceFinding held = holdLastValid(source, endpoint, invalid, draining);
-        if (held != null || !draining) {
-            return held;
+        if (valid.isEmpty()) {
+            return holdLastValid(source, endpoint, reports.get(0), draining);
         }
-        return SourceFinding.drainingOnly(source, invalid);
+        endpoint.statements().onListed(source.rank(), draining, now);
+        ReportSelection selected = ReportSelection.select(valid, endpoint.published());
+        return new SourceFinding(
+                source,
+                selected.report(),
+                selected.address(),
+                selected.cell(),
+                selected.note(),
+                false);
     }
 
     /**
-     * Rule 4: returns a finding with the last valid report while the source lists only invalid
-     * ones; null if there was no valid report, or its hold period is over.
+     * Rule 4: keeps the statement of a source while it lists only invalid reports, and returns a
+     * finding with the last valid report if the source describes the name. Returns null if there
+     * was no valid report, or the hold period is over.
      */
     private SourceFinding holdLastValid(
             EndpointSource source,
             TrackedEndpoint endpoint,
             EndpointReport invalid,
             boolean draining) {
-        if (!endpoint.hasValidReportOf(source.rank())) {
+        SourceStatements statements = endpoint.statements();
+        boolean listedBefore = statements.isListedBy(source.rank());
+        if (draining) {
+            statements.onDraining(source.rank(), now);
+        }
+        if (!listedBefore) {
             endpoint.rejectReports("waits: " + invalid.invalidReason() + " in " + source.name());
             return null;
         }
-        long heldSince = endpoint.startHold(now);
+        long heldSince = statements.invalidSince(source.rank(), now);
         long holdEnd =
                 heldSince + (invalid.withoutRecords() ? rules.emptyGraceMs() : rules.holdMs());
         if (now >= holdEnd) {
@@ -137,13 +165,18 @@
                             + (now - heldSince)
                             + " ms in "
                             + source.name());
+            if (!draining) {
+                statements.onNotListed(source.rank(), now);
+            }
             return null;
         }
         runAgainAt(holdEnd);
-        EndpointReport lastValid = endpoint.lastValidReport();
+        if (!endpoint.hasValidReportOf(source.rank())) {
+            return null;
+        }
         return new SourceFinding(
                 source,
-                draining ? lastValid.asDraining() : lastValid,
+                endpoint.lastValidReport(),
                 endpoint.published().address(),
                 endpoint.published().cell(),
                 "; held: " + invalid.invalidReason(),
@@ -154,68 +187,32 @@
 
     private void update(String name, TrackedEndpoint endpoint, List<SourceFinding> findings) {
         AdministrativeOverride override = overrides.of(name);
-        boolean dropped = dropFromDescribingSource(endpoint, findings);
-        SourceFinding describingFinding = null;
-        SourceFinding drainingFinding = null;
-        for (SourceFinding finding : findings) {
-            if (isLaggingReport(endpoint, finding)) {
-                continue;
-            }
-            if (describingFinding == null && finding.listsAddress()) {
-                describingFinding = finding;
-            }
-            if (drainingFinding == null && finding.isDraining()) {
-                drainingFinding = finding;
-            }
-        }
+        String goneFrom = firstSourceThatSays(Statement.GONE, endpoint);
         if (override == AdministrativeOverride.REMOVED) {
-            delist(name, endpoint, true, OVERRIDE_REASON, dropped);
-        } else if (describingFinding == null) {
+            delist(name, endpoint, true, OVERRIDE_REASON);
+        } else if (findings.isEmpty()) {
             String rejectionReason = endpoint.rejectionReason();
-            String reason = rejectionReason.isEmpty() ? "listed no more" : rejectionReason;
-            delist(name, endpoint, false, reason, dropped);
+            delist(
+                    name,
+                    endpoint,
+                    false,
+                    rejectionReason.isEmpty() ? "listed no more" : rejectionReason);
+        } else if (goneFrom != null && override != AdministrativeOverride.READY) {
+            delist(name, endpoint, false, "listed no more in " + goneFrom);
         } else {
-            list(name, endpoint, override, describingFinding, drainingFinding);
+            list(name, endpoint, override, findings.get(0));
         }
     }
 
-    /**
-     * Rule 6: records a departure if the source that described a name does not list it any more,
-     * although the source has not expired. Other sources that still list the name are assumed to
-     * lag behind.
-     *
-     * @return whether the source dropped the name
-     */
-    private boolean dropFromDescribingSource(
-            TrackedEndpoint endpoint, List<SourceFinding> findings) {
-        int rank = endpoint.describingRank();
-        if (endpoint.published() == null || rank == Integer.MAX_VALUE || isExpired(rank)) {
-            return false;
-        }
-        for (SourceFinding finding : findings) {
-            if (finding.source().rank() == rank && finding.listsAddress()) {
-                return false;
-            }
-        }
-        endpoint.recordDropBySource(now, rules);
-        return true;
-    }
-
-    /** Rule 6: whether a source of lower rank still lists a process that a higher one dropped. */
-    private boolean isLaggingReport(TrackedEndpoint endpoint, SourceFinding finding) {
-        return endpoint.hasDeparted()
-                && finding.source().rank() > endpoint.departedRank()
-                && finding.report().startedMs() <= endpoint.departedAt()
-                && !isExpired(endpoint.departedRank());
-    }
-
-    private boolean isExpired(int rank) {
+    /** Returns the name of the source of the highest rank that says so, or null. */
+    private String firstSourceThatSays(Statement statement, TrackedEndpoint endpoint) {
+        int rank = endpoint.statements().firstRankWith(statement);
         for (EndpointSource source : sources) {
-            if (source.rank() == rank && source.isExpired()) {
-                return true;
+            if (source.rank() == rank) {
+                return source.name();
             }
         }
-        return false;
+        return null;
     }
 
     /**
@@ -223,30 +220,28 @@
      *
      * @param override the name's administrative override, or null
      * @param describingFinding the finding that gives the address
-     * @param drainingFinding the first finding with a draining status, or null
      */
     private void list(
             String name,
             TrackedEndpoint endpoint,
             AdministrativeOverride override,
-            SourceFinding describingFinding,
-            SourceFinding drainingFinding) {
+            SourceFinding describingFinding) {
         endpoint.accept(describingFinding);
+        endpoint.markListed();
+        String drainedBy = firstSourceThatSays(Statement.DRAINING, endpoint);
         boolean readyBySources =
-                override == AdministrativeOverride.READY
-                        || (override == null && drainingFinding == null);
+                override == AdministrativeOverride.READY || (override == null && drainedBy == null);
         boolean drainedByFleet = readyBySources && overrides.isDrainedByFleet(name);
         boolean ready = readyBySources && !drainedByFleet;
         boolean wasReady = endpoint.isReady();
         if (wasReady && !ready && !drainedByFleet) {
-            SourceFinding cause = drainingFinding == null ? describingFinding : drainingFinding;
-            endpoint.recordDeparture(now, cause.source().rank(), rules);
+            endpoint.addPenalty(now, rules);
         }
         boolean damped = ready && !wasReady && isFlapping(endpoint);
         endpoint.setDamped(damped);
         double startedMs = endpoint.startTimeOf(describingFinding, readyBySources && !damped, now);
         if (readyBySources && !damped) {
-            endpoint.clearDeparture();
+            endpoint.markReturned();
         }
         endpoint.publish(
                 now,
@@ -262,24 +257,20 @@
                 describingFinding.source().name(),
                 damped
                         ? dampedReason(endpoint) + describingFinding.note()
-                        : listedReason(override, drainedByFleet, drainingFinding)
+                        : listedReason(override, drainedByFleet, drainedBy)
                                 + describingFinding.note(),
                 changeLog);
     }
 
     private static String listedReason(
-            AdministrativeOverride override,
-            boolean drainedByFleet,
-            SourceFinding drainingFinding) {
+            AdministrativeOverride override, boolean drainedByFleet, String drainedBy) {
         if (drainedByFleet) {
             return EndpointView.DRAINED_BY_FLEET_REASON;
         }
         if (override != null) {
             return OVERRIDE_REASON;
         }
-        return drainingFinding == null
-                ? "listed"
-                : "status draining in " + drainingFinding.source().name();
+        return drainedBy == null ? "listed" : "status draining in " + drainedBy;
     }
 
     private String dampedReason(TrackedEndpoint endpoint) {
@@ -310,7 +301,7 @@
             }
         }
         endpoint.setDamped(false);
-        endpoint.clearDeparture();
+        endpoint.markReturned();
         endpoint.publish(
                 now,
                 new Searcher(
@@ -332,24 +323,15 @@
      * EndpointView.Rules#goneAfterMs} after its departure. A name that an override removes is
      * removed immediately.
      */
-    private void delist(
-            String name,
-            TrackedEndpoint endpoint,
-            boolean byOverride,
-            String reason,
-            boolean droppedBySource) {
-        endpoint.markUnlisted();
+    private void delist(String name, TrackedEndpoint endpoint, boolean byOverride, String reason) {
+        if (endpoint.isReady()) {
+            endpoint.addPenalty(now, rules);
+        }
+        long removeAt = endpoint.markUnlisted(now) + rules.goneAfterMs();
         if (endpoint.published() == null) {
             endpoint.explainAbsence(now, name, reason, changeLog);
             return;
         }
-        if (endpoint.isReady() && !droppedBySource) {
-            endpoint.recordDeparture(
-                    now, byOverride ? Integer.MAX_VALUE : endpoint.describingRank(), rules);
-        } else {
-            endpoint.startDepartureUnlessStarted(now);
-        }
-        long removeAt = endpoint.departedAt() + rules.goneAfterMs();
         if (byOverride || now >= removeAt) {
             endpoint.publishRemoval(now, reason, changeLog);
             return;
@@ -364,37 +346,34 @@
     }
 
     /**
-     * Drops names that departed long ago or were never valid. New names appear all the time, so
-     * that the number of names is limited as well; the oldest departures are dropped first.
+     * Drops names that no source has ever listed validly. What a source said of a name holds
+     * without a limit of time, but new names appear all the time, so that the number of names is
+     * limited: beyond the limits, the names that were reported longest ago are dropped.
      */
     private void forgetDepartedNames() {
         Set<String> reported = new HashSet<>();
         for (EndpointSource source : sources) {
             source.addNamesTo(reported);
         }
-        endpoints
-                .entrySet()
-                .removeIf(
-                        entry ->
-                                isForgettable(entry, reported)
-                                        && now - entry.getValue().departedAt()
-                                                >= rules.rememberMs());
-        while (endpoints.size() > MAX_TRACKED_NAMES) {
-            String oldest =
-                    endpoints.entrySet().stream()
-                            .filter(entry -> isForgettable(entry, reported))
-                            .min(Comparator.comparingLong(entry -> entry.getValue().departedAt()))
-                            .map(Map.Entry::getKey)
-                            .orElse(null);
-            if (oldest == null) {
-                return;
+        List<Map.Entry<String, TrackedEndpoint>> departed = new ArrayList<>();
+        for (Map.Entry<String, TrackedEndpoint> entry : endpoints.entrySet()) {
+            if (entry.getValue().published() == null && !reported.contains(entry.getKey())) {
+                departed.add(entry);
             }
-            endpoints.remove(oldest);
         }
-    }
-
-    private static boolean isForgettable(
-            Map.Entry<String, TrackedEndpoint> entry, Set<String> reported) {
-        return entry.getValue().published() == null && !reported.contains(entry.getKey());
+        departed.sort(Comparator.comparingLong(entry -> entry.getValue().lastReportedAt()));
+        int others = endpoints.size() - departed.size();
+        int remembered = departed.size();
+        List<String> forgotten = new ArrayList<>();
+        for (Map.Entry<String, TrackedEndpoint> entry : departed) {
+            boolean old = now - entry.getValue().lastReportedAt() >= rules.rememberMs();
+            if (entry.getValue().statements().isEmpty()
+                    || (old && remembered > MAX_OLD_DEPARTURES)
+                    || others + remembered > MAX_TRACKED_NAMES) {
+                forgotten.add(entry.getKey());
+                remembered--;
+            }
+        }
+        endpoints.keySet().removeAll(forgotten);
     }
 }
--- a/src/main/java/reeldeal/endpoints/EndpointReport.java
+++ b/src/main/java/reeldeal/endpoints/EndpointReport.java
@@ -44,24 +44,4 @@
         }
         return cells.isEmpty() ? "no cell" : null;
     }
-
-    /** Returns this report with the state draining. */
-    EndpointReport asDraining() {
-        if (state == EndpointState.DRAINING) {
-            return this;
-        }
-        return new EndpointReport(
-                set,
-                name,
-                addresses,
-                priority,
-                weight,
-                cells,
-                zone,
-                kind,
-                startedMs,
-                size,
-                EndpointState.DRAINING,
-                false);
-    }
 }
--- a/src/main/java/reeldeal/endpoints/EndpointSource.java
+++ b/src/main/java/reeldeal/endpoints/EndpointSource.java
@@ -27,6 +27,7 @@
     private final String name;
     private final int rank;
     private final Map<String, ReportSet> sets = new TreeMap<>();
+    private boolean observed;
     private boolean expired;
 
     EndpointSource(String name, int rank) {
@@ -47,6 +48,11 @@
         return expired;
     }
 
+    /** Returns whether the source has been observed since the start and has not expired. */
+    boolean isReporting() {
+        return observed && !expired;
+    }
+
     void expire() {
         expired = true;
         sets.clear();
@@ -58,6 +64,7 @@
             List<EndpointReport> reports,
             long emptyGraceMs,
             EndpointChangeLog changeLog) {
+        observed = true;
         expired = false;
         Map<String, List<EndpointReport>> bySet = new TreeMap<>();
         for (EndpointReport report : reports) {
--- a/src/main/java/reeldeal/endpoints/EndpointView.java
+++ b/src/main/java/reeldeal/endpoints/EndpointView.java
@@ -28,9 +28,10 @@
  *   <li>Of several reports of one name in a source, the one with the lowest priority is used, then
  *       the one with the published address, then the highest weight, then the lowest address. Of
  *       several cells the published one is used, then the lowest.
- *   <li>Sources are ranked. The source of the highest rank that lists a name describes it. A
- *       draining status applies whatever the rank of its source. A name that a source dropped is
- *       listed again because of a source of lower rank only if its process started later.
+ *   <li>Sources are ranked. The source of the highest rank that lists a name describes it. What a
+ *       source says of a name, that it is draining or gone, holds until the same source says
+ *       otherwise, whatever its rank and whatever another source lists; {@link SourceStatements}
+ *       has the table. It outlasts a restart.
  *   <li>A name that leaves repeatedly (flaps) is kept draining until its penalty has decayed,
  *       unless its cell would have no ready searcher.
  *   <li>An administrative override takes precedence over all sources.
@@ -54,7 +55,8 @@
      *     they were removed
      * @param holdMs period for which the last valid report replaces an invalid one
      * @param goneAfterMs period for which a name that no source lists is draining
-     * @param rememberMs period for which a departed name is remembered
+     * @param rememberMs period for which a name that no source reports any more is remembered even
+     *     if there are many such names; afterwards the latest 1,000 are remembered
      * @param flapLimit penalty from which a returning name is kept draining
      * @param flapReuse penalty below which such a name may become ready again
      * @param flapHalfLifeMs half-life of a penalty
@@ -119,7 +121,27 @@
      * @param reports all reports of the source
      */
     public void observe(long now, String sourceName, List<EndpointReport> reports) {
-        sources.get(sourceName).update(now, reports, rules.emptyGraceMs(), changeLog);
+        observe(now, sourceName, reports, Set.of());
+    }
+
+    /**
+     * Replaces the reports of a source, which also reports explicitly that some searchers are gone.
+     *
+     * @param now Unix time in ms
+     * @param sourceName one of the names given to the constructor
+     * @param reports all reports of the source
+     * @param gone names of searchers that are gone; they need not have been listed before
+     */
+    public void observe(
+            long now, String sourceName, List<EndpointReport> reports, Set<String> gone) {
+        EndpointSource source = sources.get(sourceName);
+        source.update(now, reports, rules.emptyGraceMs(), changeLog);
+        for (String name : gone) {
+            TrackedEndpoint endpoint =
+                    endpoints.computeIfAbsent(name, key -> new TrackedEndpoint());
+            endpoint.statements().onGone(source.rank(), now);
+            endpoint.onReported(now);
+        }
         applyRules(now);
     }
 
@@ -194,31 +216,28 @@
         return entries;
     }
 
-    /** Returns the departed names as text, one per line, to be saved across a restart. */
+    /**
+     * Returns what the sources said of names that are draining or gone as text, to be saved across
+     * a restart; "" if there is nothing to save.
+     */
     public String departuresAsText() {
-        StringBuilder text = new StringBuilder();
-        endpoints.forEach(
-                (name, endpoint) -> {
-                    if (endpoint.hasDeparted()) {
-                        text.append(endpoint.departure(name).format()).append('\n');
-                    }
-                });
-        return text.toString();
+        List<Departure> departures = new ArrayList<>();
+        endpoints.forEach((name, endpoint) -> departures.addAll(endpoint.departures(name)));
+        return DepartureText.format(List.copyOf(sources.keySet()), departures);
     }
 
     /**
-     * Restores the text that {@link #departuresAsText} returned; must be called before the first
-     * observation. Malformed lines are ignored, as are departures that are too long ago.
+     * Restores the text that {@link #departuresAsText} returned. What a source has said since the
+     * start takes precedence, so that the text may be older than some observations. Malformed lines
+     * are ignored, as are sources that do not exist any more.
      */
     public void restore(long now, String text) {
-        for (String line : text.split("\n")) {
-            Departure departure = Departure.parse(line);
-            if (departure != null && now - departure.departedAtMs() < rules.rememberMs()) {
-                endpoints
-                        .computeIfAbsent(departure.name(), name -> new TrackedEndpoint())
-                        .restore(departure);
-            }
+        for (Departure departure : DepartureText.parse(List.copyOf(sources.keySet()), text)) {
+            endpoints
+                    .computeIfAbsent(departure.name(), name -> new TrackedEndpoint())
+                    .restore(now, departure);
         }
+        applyRules(now);
     }
 
     private void applyRules(long now) {
--- a/src/main/java/reeldeal/endpoints/TrackedEndpoint.java
+++ b/src/main/java/reeldeal/endpoints/TrackedEndpoint.java
@@ -1,13 +1,14 @@
 package reeldeal.endpoints;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.regex.Pattern;
 import reeldeal.core.Searcher;
 import reeldeal.decision.DecisionModule.EndpointState;
 
 /**
- * The state of the view for one name: the published entry, the last valid report, and the
- * departures. Owned by the view and used on its thread; times are Unix milliseconds.
+ * The state of the view for one name: the published entry, the last valid report, and what the
+ * sources said. Owned by the view and used on its thread; times are Unix milliseconds.
  */
 final class TrackedEndpoint {
     private static final long NEVER = -1;
@@ -21,17 +22,16 @@
 
     private EndpointReport lastValidReport; // may be held while there are only invalid ones
     private int describingRank = NO_RANK;
-    private long invalidSince = NEVER;
     private String rejectionReason = ""; // "" while a report is used
 
-    private long departedAt = NEVER;
-    private int departedRank = NO_RANK;
+    private final SourceStatements statements = new SourceStatements();
+    private long lastReportedAt;
 
-    /**
-     * Whether the name was not listed, or dropped by its describing source, since it was last
-     * ready, so that it comes back as a new process.
-     */
-    private boolean unlisted;
+    /** Time since which the name is published although it is not listed any more. */
+    private long unlistedSince = NEVER;
+
+    /** Whether the name was not listed since it was last ready. */
+    private boolean returnsAsNewProcess;
 
     private double penalty;
     private long penaltyAt;
@@ -63,14 +63,18 @@
 
     // ---- reports ----
 
-    /**
-     * Ends the hold of the last valid report, because a source has a valid one. Sources of a lower
-     * rank than the describing source do not end it.
-     */
-    void onValidReport(int rank) {
-        if (rank <= describingRank) {
-            invalidSince = NEVER;
-        }
+    /** Returns what the sources said of the name. */
+    SourceStatements statements() {
+        return statements;
+    }
+
+    /** Records that a source has reports of the name, valid or not. */
+    void onReported(long now) {
+        lastReportedAt = now;
+    }
+
+    long lastReportedAt() {
+        return lastReportedAt;
     }
 
     /** Whether the last valid report is of the source with this rank, and the name is published. */
@@ -82,25 +86,6 @@
         return lastValidReport;
     }
 
-    /**
-     * Returns the rank of the source that describes the name, {@link Integer#MAX_VALUE} if there is
-     * none.
-     */
-    int describingRank() {
-        return describingRank;
-    }
-
-    /**
-     * Starts the hold of the last valid report unless it has started, and returns the time of its
-     * start.
-     */
-    long startHold(long now) {
-        if (invalidSince < 0) {
-            invalidSince = now;
-        }
-        return invalidSince;
-    }
-
     void rejectReports(String newReason) {
         rejectionReason = newReason;
     }
@@ -125,18 +110,6 @@
 
     // ---- departures ----
 
-    boolean hasDeparted() {
-        return departedAt >= 0;
-    }
-
-    long departedAt() {
-        return departedAt;
-    }
-
-    int departedRank() {
-        return departedRank;
-    }
-
     /**
      * Rule 2: returns the start time to publish, in Unix ms. The process counts as a new one if its
      * address changed, or if no source listed the name for some time; the fleet relies on this to
@@ -147,7 +120,7 @@
     double startTimeOf(SourceFinding finding, boolean comesBack, long now) {
         double reported = finding.report().startedMs();
         boolean moved = published != null && !published.address().equals(finding.address());
-        if (comesBack && (moved || unlisted)) {
+        if (comesBack && (moved || returnsAsNewProcess)) {
             return Math.max(reported, (double) now);
         }
         if (published != null && reported <= published.startedMs()) {
@@ -156,54 +129,49 @@
         return reported;
     }
 
-    /** Records that the name leaves while it is ready, which adds to its penalty. */
-    void recordDeparture(long now, int rank, EndpointView.Rules rules) {
+    /** Adds to the penalty of a name that stops being ready. */
+    void addPenalty(long now, EndpointView.Rules rules) {
         penalty = penalty(now, rules) + 1;
         penaltyAt = now;
-        departedAt = now;
-        departedRank = rank;
     }
 
-    /** Records that the source that described the name does not list it any more. */
-    void recordDropBySource(long now, EndpointView.Rules rules) {
-        int rank = describingRank;
-        if (isReady()) {
-            recordDeparture(now, rank, rules);
-        }
-        departedAt = now;
-        departedRank = rank;
-        unlisted = true;
-        dropValidReport();
-    }
-
-    /** Records that the name is not listed; a published name then comes back as a new process. */
-    void markUnlisted() {
+    /**
+     * Records that the name is not listed; a published name then comes back as a new process.
+     *
+     * @return the time since which the name has not been listed
+     */
+    long markUnlisted(long now) {
         damped = false;
-        unlisted |= published != null;
+        returnsAsNewProcess |= published != null;
+        if (unlistedSince < 0) {
+            unlistedSince = now;
+        }
+        return unlistedSince;
     }
 
-    void startDepartureUnlessStarted(long now) {
-        if (departedAt < 0) {
-            departedAt = now;
-        }
+    /** Records that the name is listed, though it may be draining. */
+    void markListed() {
+        unlistedSince = NEVER;
     }
 
-    void clearDeparture() {
-        departedAt = NEVER;
-        departedRank = NO_RANK;
-        unlisted = false;
+    /** Records that the name is ready, so that its process has come back. */
+    void markReturned() {
+        returnsAsNewProcess = false;
     }
 
-    Departure departure(String name) {
-        return new Departure(name, departedAt, departedRank, unlisted);
+    List<Departure> departures(String name) {
+        return statements.departures(name, returnsAsNewProcess);
     }
 
-    void restore(Departure departure) {
-        departedAt = Math.max(departedAt, departure.departedAtMs());
-        departedRank = departure.rank();
-        unlisted = departure.unlisted();
-        reason = "left before the restart";
-        stateSince = departedAt;
+    /** Restores the statement of a source from before a restart. */
+    void restore(long now, Departure departure) {
+        statements.restore(departure);
+        if (published == null) {
+            returnsAsNewProcess |= departure.unlisted();
+            lastReportedAt = now;
+            reason = "left before the restart";
+            stateSince = Math.max(stateSince, departure.departedAtMs());
+        }
     }
 
     // ---- flap damping ----
@@ -275,9 +243,9 @@
         stateSince = now;
     }
 
-    /** Records and logs the reason for which a name that has not departed is not listed. */
+    /** Records and logs the reason for which a name that was never listed is not listed. */
     void explainAbsence(long now, String name, String absenceReason, EndpointChangeLog changeLog) {
-        if (!reason.equals(absenceReason) && departedAt < 0) {
+        if (!reason.equals(absenceReason) && statements.isEmpty()) {
             reason = absenceReason;
             stateSince = now;
             changeLog.log(name + ": not listed: " + absenceReason);
