Save departures before an update is answered, and until they are saved

Cause: departures were written once, by the leader alone, after the answer and with the result ignored, and were restored only after the first list could have been published.

The texts on a node's own disk are restored before its first list; a new leader reads the shared text before it replaces it.

--- a/src/main/java/reeldeal/endpoints/EndpointFeed.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFeed.java
@@ -48,7 +48,7 @@
     private boolean firstListPublished;
     private boolean firstListTimerStarted;
     private long tickScheduledAt = Long.MAX_VALUE;
-    private String lastSaved = "";
+    private String lastSaved;
 
     /**
      * Creates a feed.
--- a/src/main/java/reeldeal/server/ZoneWiring.java
+++ b/src/main/java/reeldeal/server/ZoneWiring.java
@@ -19,6 +19,7 @@
 import reeldeal.fleet.FleetView;
 import reeldeal.store.KeyValueState;
 import reeldeal.store.StoreNode;
+import reeldeal.zones.DepartureStore;
 import reeldeal.zones.DnsServer;
 import reeldeal.zones.Notifier;
 import reeldeal.zones.PeerLink;
@@ -50,6 +51,7 @@
                 .forEach(zone -> sources.add(zone.origin()));
         Set<String> awaitedSources = new LinkedHashSet<>(sources);
         sources.add(EndpointFeed.DISCOVERY);
+        DepartureStore departures = new DepartureStore(store, stateGroup.next(), BrokerServer::log);
         feed =
                 new EndpointFeed(
                         stateGroup.next(),
@@ -58,7 +60,7 @@
                         System::currentTimeMillis,
                         this::deliver,
                         BrokerServer::log,
-                        departed -> ZoneService.storeDepartedEndpoints(store, departed));
+                        departures::save);
         Notifier notifier =
                 new Notifier(
                         stateGroup,
@@ -76,6 +78,7 @@
                         notifier,
                         System::currentTimeMillis,
                         feed,
+                        departures,
                         BrokerServer::log);
         readOverrides();
     }
--- a/src/main/java/reeldeal/zones/ZoneService.java
+++ b/src/main/java/reeldeal/zones/ZoneService.java
@@ -29,15 +29,13 @@
      */
     public static final String MEMBERS = "members.reeldeal.";
 
-    /** The key of the departed endpoints, in the form that {@link EndpointFeed#restore} takes. */
-    private static final String DEPARTED_KEY = "members/left";
-
     private final ZonesConfig config;
     private final StoreNode store;
     private final ScheduledExecutorService loop;
     private final LongSupplier now;
     private final Consumer<String> log;
     private final EndpointFeed feed;
+    private final DepartureStore departures;
     private final HostedZones zones = new HostedZones();
     private final List<SecondaryZoneClient> secondaryClients = new ArrayList<>();
     private final Notifier notifier;
@@ -51,6 +49,8 @@
      *
      * @param store holds the zones; must not be started yet
      * @param now Unix time in ms
+     * @param feed gets the content of the zones, and at once the departures on this node's disk
+     * @param departures saves the departures of the feed
      */
     public ZoneService(
             ZonesConfig config,
@@ -60,6 +60,7 @@
             Notifier notifier,
             LongSupplier now,
             EndpointFeed feed,
+            DepartureStore departures,
             Consumer<String> log) {
         this.config = config;
         this.store = store;
@@ -67,6 +68,8 @@
         this.now = now;
         this.log = log;
         this.feed = feed;
+        this.departures = departures;
+        departures.textsOnDisk().forEach(feed::restore);
         this.notifier = notifier;
         this.connector = connector;
         for (ZonesConfig.Entry entry : config.zones()) {
@@ -91,7 +94,11 @@
         messageHandler.setUpdateForwarder(forwarder);
         store.onChange(this::applyCommitted);
         store.whenLeading(this::becomeLeader);
-        store.whenCurrent(this::publish);
+        store.whenCurrent(
+                () -> {
+                    restoreDepartures();
+                    publish();
+                });
         store.whenServingStale(this::serveStale);
     }
 
@@ -139,9 +146,10 @@
                         });
             }
         }
-        // Updates are answered after the broker has received the change, so that a client can rely
-        // on it once it has the response.
-        byZone.keySet().forEach(zone -> zone.answerCommittedUpdates(changes));
+        // Updates are answered after the broker has received the change and will still know it
+        // after a restart, so that a client can rely on it once it has the response.
+        departures.whenSaved(
+                () -> byZone.keySet().forEach(zone -> zone.answerCommittedUpdates(changes)));
     }
 
     /**
@@ -153,8 +161,7 @@
             return;
         }
         if (!feedRestored) {
-            feedRestored = true;
-            feed.restore(store.get(DEPARTED_KEY) == null ? "" : store.get(DEPARTED_KEY));
+            restoreDepartures();
         }
         for (HostedZone zone : zones.all()) {
             var changedNames = zone.takeChangedNames();
@@ -172,12 +179,21 @@
         }
     }
 
+    /**
+     * Passes the departures in the store to the endpoint feed: those of this node before a restart,
+     * and those that the last leader saved.
+     */
+    private void restoreDepartures() {
+        feedRestored = true;
+        departures.savedTexts().forEach(feed::restore);
+        departures.onRestored();
+    }
+
     /**
      * Uses the searchers of this node's own copy of the zones, as the store's group is unreachable.
      */
     private void serveStale(KeyValueState copy) {
-        KeyValueState.Value departed = copy.get(DEPARTED_KEY);
-        feed.restore(departed == null ? "" : departed.text());
+        departures.textsOnDisk().forEach(feed::restore);
         for (HostedZone zone : zones.all()) {
             Zone staleZone = ZoneKeys.readZone(zone.entry.origin(), copy);
             if (zone.entry.searchers() && staleZone.soa() != null) {
@@ -211,6 +227,7 @@
                 loadZoneFile(zone);
             }
         }
+        restoreDepartures();
         publish();
     }
 
@@ -254,13 +271,6 @@
                         loop);
     }
 
-    /** Stores the departed endpoints if this node accepts writes. */
-    public static void storeDepartedEndpoints(StoreNode store, String departed) {
-        if (store.acceptsWrites()) {
-            store.write(List.of(new Change(DEPARTED_KEY, departed)), result -> {});
-        }
-    }
-
     // ---- messages ----
 
     /** Handles a DNS message from this address; the response, if any, goes to the reply channel. */
--- a/src/test/java/reeldeal/zones/ZoneFixture.java
+++ b/src/test/java/reeldeal/zones/ZoneFixture.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 import org.xbill.DNS.Message;
@@ -89,15 +90,18 @@
                                 .filter(ZonesConfig.Entry::searchers)
                                 .map(ZonesConfig.Entry::origin)
                                 .toList());
+        DepartureStore departures = new DepartureStore(store, group.next(), log::add);
+        Set<String> awaited = new LinkedHashSet<>(sources);
+        sources.add(EndpointFeed.DISCOVERY);
         feed =
                 new EndpointFeed(
                         group.next(),
                         new EndpointView(EndpointView.Rules.DEFAULT, sources),
-                        new LinkedHashSet<>(sources),
+                        awaited,
                         System::currentTimeMillis,
                         endpointEvents::add,
                         log::add,
-                        left -> ZoneService.storeDepartedEndpoints(store, left));
+                        departures::save);
         Notifier notifier =
                 new Notifier(group, group.next(), keys, System::currentTimeMillis, log::add);
         ZoneService service =
@@ -109,6 +113,7 @@
                         notifier,
                         System::currentTimeMillis,
                         feed,
+                        departures,
                         log::add);
         store.start().sync();
         address =
