Do not serve the searchers of an expired zone from the copy on disk

Cause: ZoneService.serveStale did not read the state stored beside the zone, which says when a primary last confirmed it.

Change: a copy that was expired, or whose expire time has passed since, counts as an expired source. SecondaryState holds the stored form.

--- a/src/main/java/reeldeal/endpoints/EndpointFeed.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFeed.java
@@ -141,6 +141,7 @@
 
     /** Drops the reports of a zone whose secondary copy has expired. */
     public void expireZone(String origin) {
+        awaitedSources.remove(origin);
         view.expireSource(clock.getAsLong(), origin);
         publish();
     }
--- a/src/main/java/reeldeal/zones/HostedZone.java
+++ b/src/main/java/reeldeal/zones/HostedZone.java
@@ -160,9 +160,9 @@
             journal.clear();
             allNamesChanged = true;
         } else if (name.equals(ZoneKeys.STATE) && value != null) {
-            String[] fields = value.split(" ");
-            confirmedAt = Long.parseLong(fields[0]);
-            expired = fields[1].equals("expired");
+            SecondaryState state = SecondaryState.parse(value);
+            confirmedAt = state.confirmedAtMs();
+            expired = state.expired();
             allNamesChanged = true;
         }
     }
@@ -413,7 +413,7 @@
                 List.of(
                         new Change(
                                 ZoneKeys.stateKey(entry.origin()),
-                                confirmedAtMs + (isExpired ? " expired" : " good"))),
+                                new SecondaryState(confirmedAtMs, isExpired).format())),
                 result -> {
                     if (!(result instanceof StoreNode.Committed)) {
                         log.accept(
--- a/src/main/java/reeldeal/zones/ZoneService.java
+++ b/src/main/java/reeldeal/zones/ZoneService.java
@@ -196,12 +196,24 @@
         departures.textsOnDisk().forEach(feed::restore);
         for (HostedZone zone : zones.all()) {
             Zone staleZone = ZoneKeys.readZone(zone.entry.origin(), copy);
-            if (zone.entry.searchers() && staleZone.soa() != null) {
+            if (!zone.entry.searchers() || staleZone.soa() == null) {
+                continue;
+            }
+            if (hasExpired(staleZone, copy)) {
+                feed.expireZone(zone.entry.origin());
+            } else {
                 feed.useStaleZone(staleZone);
             }
         }
     }
 
+    /** Returns whether the copy of a secondary zone was expired, or has expired since. */
+    private boolean hasExpired(Zone staleZone, KeyValueState copy) {
+        KeyValueState.Value state = copy.get(ZoneKeys.stateKey(staleZone.origin));
+        return state != null
+                && SecondaryState.parse(state.text()).isExpired(staleZone, now.getAsLong());
+    }
+
     /**
      * Called when this node begins to accept writes: loads primary zones that the store does not
      * have yet from their files, and starts to follow the primaries of secondary zones.
--- a/src/test/java/reeldeal/zones/DepartureStoreTest.java
+++ b/src/test/java/reeldeal/zones/DepartureStoreTest.java
@@ -3,16 +3,10 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +23,6 @@
 import reeldeal.core.Searcher;
 import reeldeal.decision.DecisionModule.EndpointListKind;
 import reeldeal.decision.DecisionModule.EndpointState;
-import reeldeal.store.StoreConfig;
 import reeldeal.store.StoreNode;
 
 /** Guards against a searcher that was taken out and serves again after a restart. */
@@ -154,94 +147,28 @@
     }
 
     private static void awaitSaved(ZoneFixture fixture) throws Exception {
-        await(
-                fixture.group.next().submit(() -> fixture.store).get(),
+        StoreGroup.await(
+                fixture.store,
                 fixture.group.next(),
                 store -> String.valueOf(store.get(SHARED_KEY)).contains("s0." + ORIGIN));
     }
 
-    private interface StoreCondition {
-        boolean holds(StoreNode store);
-    }
-
-    private static void await(
-            StoreNode store, io.netty.util.concurrent.EventExecutor loop, StoreCondition condition)
-            throws Exception {
-        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-        Callable<Boolean> check = () -> condition.holds(store);
-        while (!loop.submit(check).get()) {
-            assertTrue("in time", System.nanoTime() < deadline);
-            Thread.sleep(10);
-        }
-    }
-
-    /** A group of three nodes on one event loop. */
-    private static final class Group implements AutoCloseable {
-        final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
-        final EventLoop loop = eventLoops.next();
-        final Map<String, StoreNode> stores = new TreeMap<>();
-        final Map<String, DepartureStore> departures = new TreeMap<>();
-
-        Group(Path path) throws Exception {
-            Map<String, InetSocketAddress> nodes = new TreeMap<>();
-            List<ServerSocket> portFinders = new ArrayList<>();
-            for (String node : List.of("a", "b", "c")) {
-                ServerSocket finder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                portFinders.add(finder);
-                nodes.put(node, (InetSocketAddress) finder.getLocalSocketAddress());
-            }
-            for (ServerSocket finder : portFinders) {
-                finder.close();
-            }
-            for (String node : nodes.keySet()) {
-                StoreConfig config =
-                        new StoreConfig(
-                                "g", node, nodes, Set.of(), false, path.resolve(node), null, 1);
-                StoreNode store = new StoreNode(eventLoops, config, line -> {});
-                stores.put(node, store);
-                departures.put(node, new DepartureStore(store, loop, line -> {}));
-                store.start().sync();
-            }
-        }
-
-        String leader() throws Exception {
-            Callable<String> find =
-                    () ->
-                            stores.keySet().stream()
-                                    .filter(node -> stores.get(node).acceptsWrites())
-                                    .findFirst()
-                                    .orElse("");
-            return loop.submit(find).get();
-        }
-
-        void stop(String node) throws Exception {
-            Callable<Void> close =
-                    () -> {
-                        stores.get(node).close();
-                        return null;
-                    };
-            loop.submit(close).sync();
-        }
-
-        @Override
-        public void close() throws Exception {
-            for (String node : stores.keySet()) {
-                stop(node);
-            }
-            eventLoops.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).sync();
-        }
-    }
-
     @Test
     public void eachNodeSavesItsOwnTextAndTheLeaderTheSharedOneUntilTheyAreCommitted()
             throws Exception {
-        try (Group group = new Group(folder.getRoot().toPath())) {
+        try (StoreGroup group = new StoreGroup(folder.getRoot().toPath())) {
+            Map<String, DepartureStore> departuresByNode = new TreeMap<>();
+            group.stores.forEach(
+                    (node, store) ->
+                            departuresByNode.put(
+                                    node, new DepartureStore(store, group.loop, line -> {})));
+            group.start(group.stores.keySet());
             for (StoreNode store : group.stores.values()) {
-                await(store, group.loop, StoreNode::isCurrent);
+                StoreGroup.await(store, group.loop, StoreNode::isCurrent);
             }
             String first = group.leader();
             for (String node : group.stores.keySet()) {
-                DepartureStore departures = group.departures.get(node);
+                DepartureStore departures = departuresByNode.get(node);
                 group.loop.submit(departures::onRestored).sync();
                 group.loop.submit(() -> departures.save("text of " + node)).sync();
             }
@@ -249,16 +176,20 @@
                 StoreNode store = group.stores.get(node);
                 for (String other : group.stores.keySet()) {
                     String expected = "text of " + other;
-                    await(store, group.loop, s -> expected.equals(s.get(SHARED_KEY + "/" + other)));
+                    StoreGroup.await(
+                            store,
+                            group.loop,
+                            s -> expected.equals(s.get(SHARED_KEY + "/" + other)));
                 }
-                await(store, group.loop, s -> ("text of " + first).equals(s.get(SHARED_KEY)));
+                StoreGroup.await(
+                        store, group.loop, s -> ("text of " + first).equals(s.get(SHARED_KEY)));
             }
             group.stop(first);
             group.stores.remove(first);
             List<String> left = new ArrayList<>(group.stores.keySet());
             // Saved while no node accepts writes.
             for (String node : left) {
-                DepartureStore departures = group.departures.get(node);
+                DepartureStore departures = departuresByNode.get(node);
                 group.loop.submit(() -> departures.save("later text of " + node)).sync();
             }
             String second = awaitLeader(group);
@@ -267,16 +198,18 @@
                     "the last leader's text is read before it is replaced",
                     "text of " + first,
                     group.loop.submit(() -> store.get(SHARED_KEY)).get());
-            group.loop.submit(group.departures.get(second)::onRestored).sync();
-            await(store, group.loop, s -> ("later text of " + second).equals(s.get(SHARED_KEY)));
+            group.loop.submit(departuresByNode.get(second)::onRestored).sync();
+            StoreGroup.await(
+                    store, group.loop, s -> ("later text of " + second).equals(s.get(SHARED_KEY)));
             for (String node : left) {
                 String expected = "later text of " + node;
-                await(store, group.loop, s -> expected.equals(s.get(SHARED_KEY + "/" + node)));
+                StoreGroup.await(
+                        store, group.loop, s -> expected.equals(s.get(SHARED_KEY + "/" + node)));
             }
         }
     }
 
-    private static String awaitLeader(Group group) throws Exception {
+    private static String awaitLeader(StoreGroup group) throws Exception {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         while (group.leader().isEmpty()) {
             assertTrue("in time", System.nanoTime() < deadline);
