Measure the periods of the endpoint view with the monotonic clock

Cause: the endpoint feed took its time from the system's clock. A step back prolonged the grace of an empty set and the wait before a removal; a step gave a returning searcher a start time that the slow start, which uses WallClock, took for another one: too much load, or too little.

Change: ZoneWiring passes WallClock.now, which a step does not move.

Two more checks of source statements: "gone" by a change for a searcher that discovery has not listed since the start, and a restored statement after its source has expired.

--- a/src/main/java/reeldeal/endpoints/EndpointFeed.java
+++ b/src/main/java/reeldeal/endpoints/EndpointFeed.java
@@ -57,7 +57,8 @@
      * @param view the view that gets the observations
      * @param awaited names of the sources that the first list waits for, so that a list that lacks
      *     half of the fleet is not published
-     * @param clock returns Unix time in milliseconds
+     * @param clock returns Unix time in milliseconds; a step of the system's clock must not move
+     *     it, since it measures the periods of the rules and the starts of new processes
      * @param subscriber receives the complete list once, then changes
      * @param log receives log lines
      * @param stateWriter receives the text for {@link #restore} whenever it changes
--- a/src/main/java/reeldeal/server/ZoneWiring.java
+++ b/src/main/java/reeldeal/server/ZoneWiring.java
@@ -14,6 +14,7 @@
 import reeldeal.config.AdministrativeOverridesFile;
 import reeldeal.config.BrokerConfig;
 import reeldeal.core.Event;
+import reeldeal.core.WallClock;
 import reeldeal.endpoints.EndpointFeed;
 import reeldeal.endpoints.EndpointView;
 import reeldeal.fleet.FleetView;
@@ -57,7 +58,7 @@
                         stateGroup.next(),
                         new EndpointView(config.rules(), sources),
                         awaitedSources,
-                        System::currentTimeMillis,
+                        WallClock::now,
                         this::deliver,
                         BrokerServer::log,
                         departures::save);
--- a/src/test/java/reeldeal/endpoints/EndpointFeedTest.java
+++ b/src/test/java/reeldeal/endpoints/EndpointFeedTest.java
@@ -124,6 +124,18 @@
         assertEquals("listed again", EndpointState.READY, published.get(NAME));
     }
 
+    @Test
+    public void aSearcherThatAChangeReportsAsGoneAfterTheFirstListStaysOutOfService()
+            throws Exception {
+        feed.updateZone(zone(1, 0, ""), null);
+        wholeList(1);
+        assertEquals("a zone alone lists it", EndpointState.READY, published.get(NAME));
+        change(EndpointState.REMOVED);
+        assertDrained("gone");
+        feed.updateZone(zone(2, 0, ""), null);
+        assertDrained("the zone lists it still");
+    }
+
     @Test
     public void aSearcherThatIsGoneFromAWholeListWithoutADrainStaysOutOfService() throws Exception {
         bothListAll();
--- a/src/test/java/reeldeal/endpoints/SourceStatementsTest.java
+++ b/src/test/java/reeldeal/endpoints/SourceStatementsTest.java
@@ -167,6 +167,9 @@
         assertServes(false);
         view.restore(now, "s2 1000 1 gone\n");
         assertTrue("an observation takes precedence", isReady("s2"));
+        view.expireSource(now, DISCOVERY);
+        view.restore(now, "s2 1000 1 gone\n");
+        assertTrue("even after its source has expired", isReady("s2"));
     }
 
     @Test
