Answer updates that wait for departures when this node is not current

Cause: an update waits until the departures are saved. If this node stopped being current just as an earlier write of them ended, nothing ran the waiting answers until it was current again.

Change: whenever no write is in flight and none is due, the waiting answers run. A restored statement no longer replaces the reason of an entry that has one.

--- a/src/main/java/reeldeal/endpoints/TrackedEndpoint.java
+++ b/src/main/java/reeldeal/endpoints/TrackedEndpoint.java
@@ -169,8 +169,10 @@
         if (published == null) {
             returnsAsNewProcess |= departure.unlisted();
             lastReportedAt = now;
-            reason = "left before the restart";
-            stateSince = Math.max(stateSince, departure.departedAtMs());
+            if (reason.isEmpty()) {
+                reason = "left before the restart";
+                stateSince = departure.departedAtMs();
+            }
         }
     }
 
--- a/src/main/java/reeldeal/zones/DepartureStore.java
+++ b/src/main/java/reeldeal/zones/DepartureStore.java
@@ -97,16 +97,10 @@
     }
 
     private void writeIfNecessary() {
-        if (latest == null || !restored || writing || !store.isCurrent()) {
+        if (writing) {
             return;
         }
-        // Another leader may have saved a text since this node last accepted writes.
-        maySaveShared &= store.acceptsWrites();
-        List<Change> changes = new ArrayList<>();
-        addIfChanged(ownKey, changes);
-        if (maySaveShared) {
-            addIfChanged(SHARED_KEY, changes);
-        }
+        List<Change> changes = dueChanges();
         if (changes.isEmpty()) {
             runWaitingActions();
             return;
@@ -115,6 +109,19 @@
         store.submit(List.of(), changes, this::onWritten);
     }
 
+    private List<Change> dueChanges() {
+        // Another leader may have saved a text since this node last accepted writes.
+        maySaveShared &= store.acceptsWrites();
+        List<Change> changes = new ArrayList<>();
+        if (latest != null && restored && store.isCurrent()) {
+            addIfChanged(ownKey, changes);
+            if (maySaveShared) {
+                addIfChanged(SHARED_KEY, changes);
+            }
+        }
+        return changes;
+    }
+
     private void addIfChanged(String key, List<Change> changes) {
         if (!latest.equals(Objects.requireNonNullElse(store.get(key), ""))) {
             changes.add(new Change(key, latest));
