Split the long methods of the secondary's client and of the update batch

Need: SecondaryZoneClient.handleSoaResponse parsed, checked and acted in one method, HostedZone.flush evaluated each update in nested conditions.

Change: one method per step, a named constant for the numbers of an SOA.

--- a/src/main/java/reeldeal/zones/HostedZone.java
+++ b/src/main/java/reeldeal/zones/HostedZone.java
@@ -228,28 +228,12 @@
         int chars = 0;
         while (!pendingUpdates.isEmpty() && chars < BATCH_CHARS) {
             PendingUpdate pending = pendingUpdates.poll();
-            Update.Outcome outcome =
-                    !store.acceptsWrites()
-                            ? new Update.Outcome(Rcode.REFUSED, updated, null)
-                            : !serves()
-                                    ? new Update.Outcome(Rcode.SERVFAIL, updated, null)
-                                    : Update.apply(pending.message(), updated);
-            int rcode = outcome.rcode();
-            if (outcome.zone().size() > entry.maxRecords()
-                    && outcome.zone().size() > updated.size()) {
-                log.accept(
-                        "dns: "
-                                + entry.origin()
-                                + ": update refused: the zone would exceed its limit of "
-                                + entry.maxRecords()
-                                + " records");
-                rcode = Rcode.REFUSED;
-            } else if (outcome.diff() != null) {
+            Update.Outcome outcome = evaluate(pending.message(), updated);
+            if (outcome.diff() != null) {
                 updated = outcome.zone();
                 chars += collectSetKeys(outcome.diff(), setKeys);
             }
-            int finalRcode = rcode;
-            responses.add(() -> pending.rcode().accept(finalRcode));
+            responses.add(() -> pending.rcode().accept(outcome.rcode()));
             rcodeCallbacks.add(pending.rcode());
         }
         if (updated == zone) {
@@ -260,6 +244,28 @@
         write(changes(updated, setKeys), responses, rcodeCallbacks);
     }
 
+    /** Evaluates an update against the zone as the updates before it leave it. */
+    private Update.Outcome evaluate(Message message, Zone before) {
+        if (!store.acceptsWrites()) {
+            return new Update.Outcome(Rcode.REFUSED, before, null);
+        }
+        if (!serves()) {
+            return new Update.Outcome(Rcode.SERVFAIL, before, null);
+        }
+        Update.Outcome outcome = Update.apply(message, before);
+        int size = outcome.zone().size();
+        if (size <= entry.maxRecords() || size <= before.size()) {
+            return outcome;
+        }
+        log.accept(
+                "dns: "
+                        + entry.origin()
+                        + ": update refused: the zone would exceed its limit of "
+                        + entry.maxRecords()
+                        + " records");
+        return new Update.Outcome(Rcode.REFUSED, before, null);
+    }
+
     /**
      * Adds the keys of the record sets that a difference changes to {@code setKeys}; returns the
      * approximate number of characters that its records take in the store.
--- a/src/main/java/reeldeal/zones/SecondaryZoneClient.java
+++ b/src/main/java/reeldeal/zones/SecondaryZoneClient.java
@@ -30,6 +30,9 @@
     /** The shortest interval at which confirmations of an unchanged zone are stored. */
     private static final long STATE_INTERVAL_MS = 60_000;
 
+    /** The size of the five numbers at the end of an SOA record's data. */
+    private static final int SOA_NUMBERS_BYTES = 20;
+
     private static final SecureRandom RANDOM = new SecureRandom();
 
     private final HostedZone zone;
@@ -248,63 +251,81 @@
     }
 
     private void handleSoaResponse(byte[] bytes) {
+        Message message;
         try {
-            Message message = Message.parse(bytes);
-            Tsig.Key key = key();
-            Tsig.CheckResult signature =
-                    key == null || !Tsig.isSigned(message)
-                            ? null
-                            : Tsig.check(
-                                    message,
-                                    Map.of(key.name(), key),
-                                    now.getAsLong() / 1_000,
-                                    requestMac,
-                                    new byte[0],
-                                    false);
-            Rr soa =
-                    message.answers().stream()
-                            .filter(
-                                    record ->
-                                            record.type() == Rr.SOA
-                                                    && record.name().equals(zone.entry.origin())
-                                                    && record.data().length > 20)
-                            .findFirst()
-                            .orElse(null);
-            boolean badSignature = key != null && (signature == null || !signature.isValid());
-            if (message.id != requestId
-                    || !message.response
-                    || badSignature
-                    || message.rcode() != Rcode.NOERROR
-                    || soa == null) {
-                link.close();
-                ended(
-                        badSignature
-                                ? "the response has no valid signature"
-                                : message.rcode() != 0
-                                        ? Rcode.name(message.rcode())
-                                        : "no matching response with an SOA record");
-                return;
-            }
-            long serial = Zone.soaField(soa.data(), 0);
-            Verdict verdict = secondary.judge(serial);
-            if (verdict == Verdict.OLDER) {
-                logIfNew(notLater(serial));
-            }
-            Secondary.Step next = secondary.soaReceived(now.getAsLong(), serial);
-            if (next == Secondary.Step.NOTHING) {
-                closeLink();
-                if (verdict == Verdict.SAME) {
-                    onConfirmed();
-                }
-                scheduleTick();
-                return;
-            }
-            step = next;
-            sendRequest();
+            message = Message.parse(bytes);
         } catch (Message.Malformed e) {
             link.close();
             ended("malformed response: " + e.getMessage());
+            return;
+        }
+        Rr soa = soaIn(message);
+        String problem = problemOf(message, soa);
+        if (problem != null) {
+            link.close();
+            ended(problem);
+            return;
+        }
+        onPrimarySerial(Zone.soaField(soa.data(), 0));
+    }
+
+    /** Returns the zone's SOA record in a response, or null. */
+    private Rr soaIn(Message message) {
+        return message.answers().stream()
+                .filter(record -> record.type() == Rr.SOA)
+                .filter(record -> record.name().equals(zone.entry.origin()))
+                .filter(record -> record.data().length > SOA_NUMBERS_BYTES)
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Returns why a response with this SOA record cannot be used, or null if it can. */
+    private String problemOf(Message message, Rr soa) {
+        if (!isSignedAsExpected(message)) {
+            return "the response has no valid signature";
+        }
+        if (message.rcode() != Rcode.NOERROR) {
+            return Rcode.name(message.rcode());
         }
+        boolean matches = message.id == requestId && message.response && soa != null;
+        return matches ? null : "no matching response with an SOA record";
+    }
+
+    private boolean isSignedAsExpected(Message message) {
+        Tsig.Key key = key();
+        if (key == null) {
+            return true;
+        }
+        if (!Tsig.isSigned(message)) {
+            return false;
+        }
+        Tsig.CheckResult signature =
+                Tsig.check(
+                        message,
+                        Map.of(key.name(), key),
+                        now.getAsLong() / 1_000,
+                        requestMac,
+                        new byte[0],
+                        false);
+        return signature != null && signature.isValid();
+    }
+
+    private void onPrimarySerial(long serial) {
+        Verdict verdict = secondary.judge(serial);
+        if (verdict == Verdict.OLDER) {
+            logIfNew(notLater(serial));
+        }
+        Secondary.Step next = secondary.soaReceived(now.getAsLong(), serial);
+        if (next != Secondary.Step.NOTHING) {
+            step = next;
+            sendRequest();
+            return;
+        }
+        closeLink();
+        if (verdict == Verdict.SAME) {
+            onConfirmed();
+        }
+        scheduleTick();
     }
 
     private void closeLink() {
